--- a/src/main/java/gaugefold/CallControl.java
+++ b/src/main/java/grebewick/CallControl.java
@@ -1,4 +1,4 @@
-package gaugefold;
+package grebewick;
 
 import java.util.List;
 import java.util.function.Consumer;
--- a/src/main/java/gaugefold/Logic.java
+++ b/src/main/java/grebewick/Logic.java
@@ -1,4 +1,4 @@
-package gaugefold;
+package grebewick;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/gaugefold/benchlink/Fields.java
+++ b/src/main/java/grebewick/benchlink/Fields.java
@@ -1,4 +1,4 @@
-package gaugefold.benchlink;
+package grebewick.benchlink;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/gaugefold/benchlink/Loop.java
+++ b/src/main/java/grebewick/benchlink/Loop.java
@@ -1,10 +1,10 @@
-package gaugefold.benchlink;
+package grebewick.benchlink;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import gaugefold.CallControl;
-import gaugefold.CallControl.Event;
-import gaugefold.CallControl.Settings;
+import grebewick.CallControl;
+import grebewick.CallControl.Event;
+import grebewick.CallControl.Settings;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.StringWriter;
--- a/src/main/java/gaugefold/benchlink/Main.java
+++ b/src/main/java/grebewick/benchlink/Main.java
@@ -1,6 +1,6 @@
-package gaugefold.benchlink;
+package grebewick.benchlink;
 
-import gaugefold.Logic;
+import grebewick.Logic;
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
 import java.io.IOException;
@@ -15,7 +15,7 @@
     /** Runs the adapter; exits with 0 at the end of input, 1 on bad input, 2 on a bad command line. */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar gaugefold.jar benchlink");
+            System.err.println("usage: java -jar grebewick.jar benchlink");
             System.exit(2);
         }
         try {
--- a/src/main/java/gaugefold/benchlink/WireException.java
+++ b/src/main/java/grebewick/benchlink/WireException.java
@@ -1,4 +1,4 @@
-package gaugefold.benchlink;
+package grebewick.benchlink;
 
 /** Something on the wire that is not the wire's; the text names the message and the field. */
 final class WireException extends RuntimeException {
--- a/src/test/java/gaugefold/FleetTest.java
+++ b/src/test/java/grebewick/FleetTest.java
@@ -1,13 +1,13 @@
-package gaugefold;
+package grebewick;
 
-import static gaugefold.Rig.SECOND;
-import static gaugefold.Rig.at;
-import static gaugefold.Rig.attempt;
-import static gaugefold.Rig.settings;
-import static gaugefold.Rig.up;
+import static grebewick.Rig.SECOND;
+import static grebewick.Rig.at;
+import static grebewick.Rig.attempt;
+import static grebewick.Rig.settings;
+import static grebewick.Rig.up;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gaugefold.CallControl.*;
+import grebewick.CallControl.*;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
--- a/src/test/java/gaugefold/Rig.java
+++ b/src/test/java/grebewick/Rig.java
@@ -1,6 +1,6 @@
-package gaugefold;
+package grebewick;
 
-import gaugefold.CallControl.*;
+import grebewick.CallControl.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/gaugefold/benchlink/WireTest.java
+++ b/src/test/java/grebewick/benchlink/WireTest.java
@@ -1,11 +1,11 @@
-package gaugefold.benchlink;
+package grebewick.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gaugefold.CallControl;
-import gaugefold.CallControl.*;
+import grebewick.CallControl;
+import grebewick.CallControl.*;
 import java.io.BufferedReader;
 import java.io.StringReader;
 import java.io.StringWriter;
