--- a/src/main/java/grebewick/benchlink/Main.java
+++ b/src/main/java/grebewick/benchlink/Adapter.java
@@ -1,6 +1,6 @@
 package grebewick.benchlink;
 
-import grebewick.Logic;
+import grebewick.core.Logic;
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
 import java.io.IOException;
@@ -8,23 +8,20 @@
 import java.io.OutputStreamWriter;
 import java.nio.charset.StandardCharsets;
 
-/** Command line: {@code benchlink} speaks the wire on standard input and output. */
-public final class Main {
-    private Main() { }
+/** Speaks the simulator's wire on standard input and output. */
+public final class Adapter {
+    private Adapter() { }
 
-    /** Runs the adapter; exits with 0 at the end of input, 1 on bad input, 2 on a bad command line. */
-    public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar grebewick.jar benchlink");
-            System.exit(2);
-        }
+    /** Runs until the input ends; gives the exit code, 0 at the end of input and 1 on bad input. */
+    public static int run() throws IOException {
         try {
             new Loop(Logic::new).run(
                 new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16),
                 new BufferedWriter(new OutputStreamWriter(System.out, StandardCharsets.UTF_8), 1 << 16));
+            return 0;
         } catch (WireException e) {
             System.err.println(e.getMessage());
-            System.exit(1);
+            return 1;
         }
     }
 }
--- a/src/main/java/grebewick/benchlink/Codec.java
+++ b/src/main/java/grebewick/benchlink/Codec.java
@@ -4,41 +4,41 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import grebewick.CallControl.Action;
-import grebewick.CallControl.AskLoad;
-import grebewick.CallControl.Attempt;
-import grebewick.CallControl.Blend;
-import grebewick.CallControl.Bounds;
-import grebewick.CallControl.Call;
-import grebewick.CallControl.Checked;
-import grebewick.CallControl.Clients;
-import grebewick.CallControl.Close;
-import grebewick.CallControl.Due;
-import grebewick.CallControl.Event;
-import grebewick.CallControl.FamilyInfo;
-import grebewick.CallControl.Fees;
-import grebewick.CallControl.Fetch;
-import grebewick.CallControl.Fleet;
-import grebewick.CallControl.Grade;
-import grebewick.CallControl.Hangup;
-import grebewick.CallControl.NeighbourSays;
-import grebewick.CallControl.Observe;
-import grebewick.CallControl.Realm;
-import grebewick.CallControl.Refuse;
-import grebewick.CallControl.Remind;
-import grebewick.CallControl.Report;
-import grebewick.CallControl.Result;
-import grebewick.CallControl.Rules;
-import grebewick.CallControl.Scope;
-import grebewick.CallControl.ServerEntry;
-import grebewick.CallControl.Settings;
-import grebewick.CallControl.Signal;
-import grebewick.CallControl.Stage;
-import grebewick.CallControl.Started;
-import grebewick.CallControl.State;
-import grebewick.CallControl.Surrender;
-import grebewick.CallControl.Trace;
-import grebewick.CallControl.Withdraw;
+import grebewick.core.CallControl.Action;
+import grebewick.core.CallControl.AskLoad;
+import grebewick.core.CallControl.Attempt;
+import grebewick.core.CallControl.Blend;
+import grebewick.core.CallControl.Bounds;
+import grebewick.core.CallControl.Call;
+import grebewick.core.CallControl.Checked;
+import grebewick.core.CallControl.Clients;
+import grebewick.core.CallControl.Close;
+import grebewick.core.CallControl.Due;
+import grebewick.core.CallControl.Event;
+import grebewick.core.CallControl.FamilyInfo;
+import grebewick.core.CallControl.Fees;
+import grebewick.core.CallControl.Fetch;
+import grebewick.core.CallControl.Fleet;
+import grebewick.core.CallControl.Grade;
+import grebewick.core.CallControl.Hangup;
+import grebewick.core.CallControl.NeighbourSays;
+import grebewick.core.CallControl.Observe;
+import grebewick.core.CallControl.Realm;
+import grebewick.core.CallControl.Refuse;
+import grebewick.core.CallControl.Remind;
+import grebewick.core.CallControl.Report;
+import grebewick.core.CallControl.Result;
+import grebewick.core.CallControl.Rules;
+import grebewick.core.CallControl.Scope;
+import grebewick.core.CallControl.ServerEntry;
+import grebewick.core.CallControl.Settings;
+import grebewick.core.CallControl.Signal;
+import grebewick.core.CallControl.Stage;
+import grebewick.core.CallControl.Started;
+import grebewick.core.CallControl.State;
+import grebewick.core.CallControl.Surrender;
+import grebewick.core.CallControl.Trace;
+import grebewick.core.CallControl.Withdraw;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -48,13 +48,13 @@
 import java.util.Map;
 
 /** Turns wire messages into events and settings, and actions into wire messages. Translates only. */
-final class Codec {
+public final class Codec {
     private static final JsonFactory JSON = new JsonFactory();
 
     private final Map<Long, List<ServerEntry>> tables = new HashMap<>();
 
     /** Reads one JSON value of a line into maps, lists, strings, numbers and booleans. */
-    static Object parse(String line) {
+    public static Object parse(String line) {
         try (JsonParser parser = JSON.createParser(line)) {
             parser.nextToken();
             Object value = value(parser);
@@ -193,9 +193,8 @@
         };
     }
 
-    /** The settings of a {@code Launch}; keys that are not known are skipped. */
-    static Settings settings(Fields launch) {
-        Fields o = launch.object("Options");
+    /** The settings, as {@code Launch} and a gatekeeper's configuration give them; unknown keys are skipped. */
+    public static Settings settings(Fields o) {
         List<Grade> grades = new ArrayList<>();
         o.neededList("Grades");
         for (Fields g : o.objects("Grades")) {
--- a/src/main/java/grebewick/benchlink/Fields.java
+++ b/src/main/java/grebewick/benchlink/Fields.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 
 /** The fields of one message, read by name and type; what is missing or of the wrong type is named. */
-record Fields(String message, Map<String, Object> values) {
+public record Fields(String message, Map<String, Object> values) {
 
-    boolean has(String name) {
+    public boolean has(String name) {
         return values.get(name) != null;
     }
 
@@ -22,44 +22,44 @@
         return type.cast(value);
     }
 
-    String string(String name) {
+    public String string(String name) {
         return need(name, String.class);
     }
 
-    String string(String name, String absent) {
+    public String string(String name, String absent) {
         Object value = values.get(name);
         return value == null ? absent : value instanceof String s ? s : String.valueOf(value);
     }
 
-    long integer(String name) {
+    public long integer(String name) {
         return need(name, Number.class).longValue();
     }
 
-    long integer(String name, long absent) {
+    public long integer(String name, long absent) {
         return has(name) ? integer(name) : absent;
     }
 
-    double number(String name) {
+    public double number(String name) {
         return need(name, Number.class).doubleValue();
     }
 
-    double number(String name, double absent) {
+    public double number(String name, double absent) {
         return has(name) ? number(name) : absent;
     }
 
-    boolean flag(String name) {
+    public boolean flag(String name) {
         return has(name) && need(name, Boolean.class);
     }
 
-    List<?> list(String name) {
+    public List<?> list(String name) {
         return has(name) ? need(name, List.class) : List.of();
     }
 
-    List<?> neededList(String name) {
+    public List<?> neededList(String name) {
         return need(name, List.class);
     }
 
-    List<String> strings(String name) {
+    public List<String> strings(String name) {
         List<String> result = new ArrayList<>();
         for (Object o : list(name)) {
             result.add(String.valueOf(o));
@@ -67,7 +67,7 @@
         return result;
     }
 
-    List<Double> numbers(String name) {
+    public List<Double> numbers(String name) {
         List<Double> result = new ArrayList<>();
         for (Object o : list(name)) {
             if (!(o instanceof Number n)) {
@@ -78,11 +78,11 @@
         return result;
     }
 
-    Fields object(String name) {
+    public Fields object(String name) {
         return new Fields(message + "." + name, asObject(message + ": field " + name, need(name, Map.class)));
     }
 
-    List<Fields> objects(String name) {
+    public List<Fields> objects(String name) {
         List<Fields> result = new ArrayList<>();
         for (Object o : list(name)) {
             result.add(new Fields(message + "." + name, asObject(message + ": field " + name, o)));
@@ -91,7 +91,7 @@
     }
 
     @SuppressWarnings("unchecked")
-    static Map<String, Object> asObject(String what, Object value) {
+    public static Map<String, Object> asObject(String what, Object value) {
         if (!(value instanceof Map)) {
             throw new WireException(what + " is not an object");
         }
--- a/src/main/java/grebewick/benchlink/Loop.java
+++ b/src/main/java/grebewick/benchlink/Loop.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import grebewick.CallControl;
-import grebewick.CallControl.Event;
-import grebewick.CallControl.Settings;
+import grebewick.core.CallControl;
+import grebewick.core.CallControl.Event;
+import grebewick.core.CallControl.Settings;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.StringWriter;
@@ -67,7 +67,7 @@
             return;
         }
         if (message.message().equals("Launch")) {
-            Settings settings = Codec.settings(message);
+            Settings settings = Codec.settings(message.object("Options"));
             long seed = message.integer("RandomSeed");
             guarded(id, json, () -> instances.put(id, maker.apply(settings, seed)));
             return;
--- a/src/main/java/grebewick/benchlink/WireException.java
+++ b/src/main/java/grebewick/benchlink/WireException.java
@@ -1,7 +1,7 @@
 package grebewick.benchlink;
 
 /** Something on the wire that is not the wire's; the text names the message and the field. */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     WireException(String text) {
--- a/src/main/java/grebewick/CallControl.java
+++ b/src/main/java/grebewick/core/CallControl.java
@@ -1,4 +1,4 @@
-package grebewick;
+package grebewick.core;
 
 import java.util.List;
 import java.util.function.Consumer;
--- /dev/null
+++ b/src/main/java/grebewick/core/Clock.java
@@ -0,0 +1,8 @@
+package grebewick.core;
+
+/** Whole microseconds that only advance. */
+@FunctionalInterface
+public interface Clock {
+    /** The present. */
+    long nowUs();
+}
--- /dev/null
+++ b/src/main/java/grebewick/core/Servers.java
@@ -0,0 +1,19 @@
+package grebewick.core;
+
+/** Port to the servers. What comes back is reported to the {@link Gatekeeper} by call, copy and server. */
+public interface Servers {
+    /** Send a set-up; the gatekeeper itself gives it up after {@code waitUs}. */
+    void setUp(long call, int copy, String server, Offer offer, long waitUs);
+
+    /** Give up a set-up that is out; what it may still bring is to be released. */
+    void giveUp(long call, int copy, String server);
+
+    /** Release a call that stands. */
+    void release(long call, String server);
+
+    /** Ask for a report. */
+    void probe(String server);
+
+    /** Close connections without work. */
+    void closeIdle(String server);
+}
--- /dev/null
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -0,0 +1,285 @@
+package grebewick.sip;
+
+import grebewick.core.Callers;
+import grebewick.core.Ending;
+import grebewick.core.Gatekeeper;
+import grebewick.core.Offer;
+import grebewick.config.Address;
+import grebewick.sip.SipMessage.Header;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** The callers' side over SIP: each call is a session from its INVITE to its BYE. */
+public final class SipFront {
+    /** s. What a refused caller is told where the module gives no advice. */
+    private static final long COME_BACK_S = 1;
+    /** ms. After this a BYE that was written and brought no answer has arrived or never will. */
+    private static final long BYE_MS = 5_000;
+    /** ms. How long a BYE waits for a connection from callers. */
+    private static final long OWED_MS = 60_000;
+
+    private final Vertx vertx;
+    private final Gatekeeper core;
+    private final Consumer<String> log;
+    private final Map<Long, Session> sessions = new HashMap<>();
+    private final Map<Long, Bye> byes = new LinkedHashMap<>();
+    private final Set<NetSocket> connections = new LinkedHashSet<>();
+    private boolean testsPass = true;
+    private boolean takesCalls = true;
+
+    /** Makes the front of a core. */
+    public SipFront(Vertx vertx, Gatekeeper core, Consumer<String> log) {
+        this.vertx = vertx;
+        this.core = core;
+        this.log = log;
+    }
+
+    /** Listens; ready once the result is there. */
+    public Future<NetServer> listen(Address address) {
+        vertx.setPeriodic(1000, t -> sweep());
+        return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(1024))
+            .connectHandler(this::accept).listen(address.port(), address.host());
+    }
+
+    /** From now on tests fail, so that callers go elsewhere; calls are still taken. */
+    public void failTests() {
+        testsPass = false;
+    }
+
+    /** From now on calls are refused. */
+    public void refuseCalls() {
+        takesCalls = false;
+    }
+
+    private void accept(NetSocket socket) {
+        connections.add(socket);
+        SipCodec codec = new SipCodec();
+        socket.handler(bytes -> read(socket, codec, bytes));
+        socket.exceptionHandler(e -> socket.close());
+        socket.closeHandler(v -> closed(socket));
+        for (Bye bye : List.copyOf(byes.values())) {
+            if (bye.on == null) {
+                send(bye, socket);
+            }
+        }
+    }
+
+    private void read(NetSocket socket, SipCodec codec, Buffer bytes) {
+        try {
+            codec.read(bytes, message -> take(socket, message));
+        } catch (RuntimeException e) {
+            log.accept("sip: closed a connection that sent " + e.getMessage());
+            socket.close();
+        }
+    }
+
+    private void closed(NetSocket socket) {
+        connections.remove(socket);
+        for (Session s : List.copyOf(sessions.values())) {
+            if (s.on == socket && !s.answered) {
+                s.answered = true;
+                sessions.remove(s.id, s);
+                core.hangup(s.call);
+            }
+        }
+        // Guards against a BYE lost in a connection that its caller was just closing.
+        for (Bye bye : List.copyOf(byes.values())) {
+            if (bye.on == socket) {
+                send(bye, any());
+            }
+        }
+    }
+
+    private NetSocket any() {
+        NetSocket last = null;
+        for (NetSocket socket : connections) {
+            last = socket;
+        }
+        return last;
+    }
+
+    private void take(NetSocket on, SipMessage m) {
+        if (!m.isRequest()) {
+            if (m.method().equals("BYE")) {
+                byes.remove(id(m));
+            }
+            return;
+        }
+        switch (m.method()) {
+            case "INVITE" -> invite(on, m);
+            case "CANCEL" -> cancel(on, m);
+            case "BYE" -> bye(on, m);
+            case "OPTIONS" -> write(on, testsPass ? m.response(200, "OK") : m.response(503, "Service Unavailable"));
+            case "ACK", "NOTIFY" -> { }
+            default -> write(on, m.response(501, "Not Implemented"));
+        }
+    }
+
+    private static long id(SipMessage m) {
+        String text = m.header("Call-ID", m.header("i", ""));
+        if (text.length() != 16) {
+            throw new IllegalArgumentException("a Call-ID that is not 16 hex digits");
+        }
+        return Long.parseUnsignedLong(text, 16);
+    }
+
+    private void invite(NetSocket on, SipMessage m) {
+        long id = id(m);
+        if (sessions.containsKey(id)) {
+            return;
+        }
+        Offer offer;
+        try {
+            offer = offer(id, m);
+        } catch (RuntimeException e) {
+            write(on, m.response(400, "Bad Request"));
+            return;
+        }
+        Session session = new Session(id, on, m);
+        if (!takesCalls) {
+            session.refused(0, 0);
+            return;
+        }
+        sessions.put(id, session);
+        session.call = core.offer(offer, session);
+    }
+
+    private static Offer offer(long id, SipMessage m) {
+        Map<String, Double> attrs = new HashMap<>();
+        for (String part : m.header("X-Attrs", "").split(";")) {
+            int colon = part.indexOf(':');
+            if (colon > 0) {
+                attrs.put(part.substring(0, colon).trim(), Double.valueOf(part.substring(colon + 1).trim()));
+            }
+        }
+        String uri = m.uri();
+        int colon = uri.indexOf(':');
+        int at = uri.indexOf('@');
+        String number = at > colon ? uri.substring(colon + 1, at) : uri.substring(colon + 1);
+        String tier = m.header("X-Tier");
+        if (tier == null) {
+            throw new IllegalArgumentException("no X-Tier");
+        }
+        return new Offer(id, tier, number, Long.parseLong(m.header("X-Deadline")) * 1000,
+            m.header("X-Resent", "0").equals("1"), attrs.getOrDefault("again", 0.0) == 1,
+            attrs.getOrDefault("width", 1.0), attrs.getOrDefault("dest", -1.0).intValue(),
+            attrs.getOrDefault("via", -1.0), m.body());
+    }
+
+    private void cancel(NetSocket on, SipMessage m) {
+        Session s = sessions.get(id(m));
+        write(on, s == null ? m.response(481, "Call/Transaction Does Not Exist") : m.response(200, "OK"));
+        if (s != null && !s.answered) {
+            s.answer(487, "Request Terminated");
+            core.hangup(s.call);
+        }
+    }
+
+    private void bye(NetSocket on, SipMessage m) {
+        Session s = sessions.get(id(m));
+        write(on, s == null || !s.stands ? m.response(481, "Call/Transaction Does Not Exist") : m.response(200, "OK"));
+        if (s != null && s.stands) {
+            sessions.remove(s.id, s);
+            core.releasedByCaller(s.call);
+        }
+    }
+
+    private void send(Bye bye, NetSocket on) {
+        bye.on = on;
+        if (on != null) {
+            bye.sentMs = nowMs();
+            write(on, bye.message);
+        }
+    }
+
+    private void sweep() {
+        long now = nowMs();
+        byes.values().removeIf(bye -> now - bye.sentMs > (bye.on != null ? BYE_MS : OWED_MS));
+    }
+
+    private void write(NetSocket on, SipMessage m) {
+        if (connections.contains(on)) {
+            on.write(SipCodec.encode(m));
+        }
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private static final class Bye {
+        final SipMessage message;
+        NetSocket on;
+        long sentMs = nowMs();
+
+        Bye(SipMessage message) {
+            this.message = message;
+        }
+    }
+
+    /** One call on this side. */
+    private final class Session implements Callers {
+        final long id;
+        final NetSocket on;
+        final SipMessage invite;
+        long call;
+        boolean answered;
+        boolean stands;
+
+        Session(long id, NetSocket on, SipMessage invite) {
+            this.id = id;
+            this.on = on;
+            this.invite = invite;
+        }
+
+        /** The one place where an INVITE gets a final answer that is not 200. */
+        void answer(int status, String phrase, Header... more) {
+            answered = true;
+            sessions.remove(id, this);
+            write(on, invite.response(status, phrase, more));
+        }
+
+        @Override
+        public void stands(long number, byte[] description) {
+            answered = true;
+            stands = true;
+            write(on, invite.response(200, "OK", description));
+        }
+
+        @Override
+        public void refused(long number, long comeBackUs) {
+            long seconds = comeBackUs > 0 ? (comeBackUs + 999_999) / 1_000_000 : COME_BACK_S;
+            answer(503, "Service Unavailable", new Header("Retry-After", Long.toString(seconds)));
+        }
+
+        @Override
+        public void failed(long number) {
+            answer(500, "Server Internal Error");
+        }
+
+        @Override
+        public void released(long number, Ending ending) {
+            sessions.remove(id, this);
+            List<Header> headers = new ArrayList<>();
+            headers.add(new Header("Via", "SIP/2.0/TCP gatekeeper"));
+            headers.add(new Header("Call-ID", invite.header("Call-ID", invite.header("i", ""))));
+            headers.add(new Header("CSeq", "1 BYE"));
+            headers.add(new Header("Reason", "Q.850;cause=" + (ending == Ending.CUT ? 41 : 16)));
+            Bye bye = new Bye(SipMessage.request("BYE", "sip:peer@net", headers.toArray(Header[]::new)));
+            byes.put(id, bye);
+            send(bye, connections.contains(on) ? on : any());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -0,0 +1,296 @@
+package grebewick.trunk;
+
+import static grebewick.trunk.TrunkMessage.*;
+
+import grebewick.config.Endpoint;
+import grebewick.core.CallControl.Settings;
+import grebewick.core.CallControl.State;
+import grebewick.core.Ending;
+import grebewick.core.Gatekeeper;
+import grebewick.core.Offer;
+import grebewick.core.Servers;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** The recipe servers over their binary protocol: one line to each, and the calls that are on them. */
+public final class Trunk implements Servers, Line.Owner {
+    /** ms. Silence after a set-up that casts doubt on a connection. */
+    private static final long DOUBT_MS = 500;
+
+    private final Vertx vertx;
+    private final NetClient client;
+    private final Reports reports;
+    private final long probeMs;
+    private final Consumer<String> log;
+    private final Map<String, Line> lines = new TreeMap<>();
+    private final Map<Long, Leg> byCall = new HashMap<>();
+    private final Map<Long, Leg> byId = new HashMap<>();
+    private final Map<Long, Probe> probes = new HashMap<>();
+    private Gatekeeper core;
+    private long nextProbe = 1;
+
+    /** Makes the trunk side; {@link #attach} gives it its core before anything is listed. */
+    public Trunk(Vertx vertx, Settings set, Consumer<String> log) {
+        this.vertx = vertx;
+        this.log = log;
+        reports = new Reports(set.report().fields());
+        probeMs = Math.max(1, set.bounds().connectTimeoutUs() / 1000) * 2;
+        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
+            .setConnectTimeout((int) Math.max(1, set.bounds().connectTimeoutUs() / 1000)));
+    }
+
+    /** Names the core that is told what happens. */
+    public void attach(Gatekeeper gatekeeper) {
+        core = gatekeeper;
+    }
+
+    /** The whole list as it now is: lines to new servers are opened, those of gone ones end. */
+    public void list(List<Endpoint> endpoints) {
+        Map<String, Endpoint> now = new TreeMap<>();
+        endpoints.forEach(e -> now.put(e.entry().server(), e));
+        lines.values().removeIf(line -> {
+            boolean gone = !now.containsKey(line.id);
+            if (gone) {
+                line.gone();
+            }
+            return gone;
+        });
+        now.forEach((id, e) -> {
+            Line line = lines.get(id);
+            if (line != null) {
+                line.update(e.address(), e.entry().launchedUs());
+                return;
+            }
+            line = new Line(id, e.address(), e.entry().launchedUs(), vertx, client, this, log);
+            lines.put(id, line);
+            line.connect();
+        });
+    }
+
+    // ---- from the core
+
+    @Override
+    public void setUp(long call, int copy, String server, Offer offer, long waitUs) {
+        Line line = lines.get(server);
+        if (line == null) {
+            core.ended(call, copy, State.IGNORED, 0, List.of());
+            return;
+        }
+        Leg leg = new Leg(call, copy, line, offer,
+            TrunkMessage.setUp(offer.id(), offer.band(), offer.item(), Math.max(1, waitUs / 1000), offer.description()));
+        byCall.put(call, leg);
+        byId.put(offer.id(), leg);
+        if (line.current() != null) {
+            leave(leg);
+        } else {
+            line.connect();
+        }
+    }
+
+    private void leave(Leg leg) {
+        leg.on = leg.line.current();
+        leg.sentMs = nowMs();
+        leg.line.send(leg.on, leg.message);
+    }
+
+    @Override
+    public void giveUp(long call, int copy, String server) {
+        Leg leg = byCall.get(call);
+        if (leg == null || leg.stands) {
+            return;
+        }
+        forget(leg);
+        if (leg.on == null || !leg.line.isOpen(leg.on)) {
+            return;
+        }
+        leg.line.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
+        if (leg.on == leg.line.current() && leg.line.heardMs() < leg.sentMs && nowMs() - leg.sentMs > DOUBT_MS) {
+            // Guards against a silent, vanished server: only a new connection tells it from a slow one.
+            leg.line.connect();
+        }
+    }
+
+    @Override
+    public void release(long call, String server) {
+        Leg leg = byCall.get(call);
+        if (leg != null) {
+            forget(leg);
+            leg.line.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
+        }
+    }
+
+    @Override
+    public void probe(String server) {
+        Line line = lines.get(server);
+        if (line == null || line.current() == null) {
+            core.checked(server, State.CONNECT_ERROR, 0, List.of());
+            return;
+        }
+        long id = nextProbe++;
+        probes.put(id, new Probe(server, System.nanoTime(), vertx.setTimer(probeMs, t -> {
+            if (probes.remove(id) != null) {
+                core.checked(server, State.TIMED_OUT, probeMs * 1000, List.of());
+            }
+        })));
+        line.send(line.current(), of(TEST, id, 1));
+    }
+
+    @Override
+    public void closeIdle(String server) {
+        Line line = lines.get(server);
+        if (line != null && byCall.values().stream().noneMatch(leg -> leg.line == line)) {
+            line.closeIdle();
+        }
+    }
+
+    // ---- from the lines
+
+    @Override
+    public void up(Line line) {
+        legs(line).stream().filter(leg -> leg.on == null).forEach(this::leave);
+    }
+
+    @Override
+    public void unreachable(Line line, boolean refused) {
+        for (Leg leg : legs(line)) {
+            if (leg.on == null) {
+                forget(leg);
+                core.ended(leg.call, leg.copy, State.CONNECT_ERROR, 0, List.of());
+            }
+        }
+        if (refused) {
+            legs(line).stream().filter(leg -> leg.stands).forEach(this::forget);
+            core.died(line.id);
+        }
+    }
+
+    @Override
+    public void lost(Line line, NetSocket connection) {
+        for (Leg leg : legs(line)) {
+            if (leg.on == connection && !leg.stands) {
+                forget(leg);
+                core.ended(leg.call, leg.copy, State.RESET_BY_PEER, 0, List.of());
+            }
+        }
+    }
+
+    @Override
+    public void message(Line line, NetSocket on, TrunkMessage m) {
+        switch (m.type()) {
+            case ANSWER -> answer(line, on, m);
+            case RELEASE -> {
+                line.send(on, of(RELEASED, m.call(), -1));
+                ended(line, m);
+            }
+            case GROUP_STATE -> core.checked(line.id, State.OK, 0, reports.read(m.report()));
+            case TEST -> line.send(on, of(TESTED, m.call(), 1));
+            case TESTED -> {
+                Probe probe = probes.remove(m.call());
+                if (probe != null) {
+                    vertx.cancelTimer(probe.timer);
+                    core.checked(probe.server, m.cause() == 1 ? State.OK : State.FAILED,
+                        (System.nanoTime() - probe.sentNs) / 1000, reports.read(m.report()));
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private void answer(Line line, NetSocket on, TrunkMessage m) {
+        Leg leg = byId.get(m.call());
+        if (leg != null && leg.line == line && leg.stands) {
+            return;
+        }
+        if (leg != null && leg.line == line && leg.on != null) {
+            leg.stands = true;
+            if (core.stood(leg.call, leg.copy, m.description(), reports.read(m.report()))) {
+                return;
+            }
+            forget(leg);
+        }
+        // Guards against calls that stand for nobody: the answer crossed the give-up.
+        line.send(on, of(RELEASE, m.call(), NORMAL_CLEARING));
+    }
+
+    private void ended(Line line, TrunkMessage m) {
+        Leg leg = byId.get(m.call());
+        if (leg == null || leg.line != line) {
+            return;
+        }
+        List<Double> report = reports.read(m.report());
+        forget(leg);
+        if (leg.stands) {
+            core.over(leg.call, m.cause() == NORMAL_CLEARING ? Ending.NORMAL : Ending.CUT, report);
+            return;
+        }
+        State state = switch (m.cause()) {
+            case NO_CIRCUIT -> State.QUEUE_FULL;
+            case USER_BUSY, RESOURCE_UNAVAILABLE -> State.FAILED;
+            case MOOT -> State.IGNORED;
+            default -> State.RESET_BY_PEER;
+        };
+        core.ended(leg.call, leg.copy, state, why(m.note()), report);
+    }
+
+    /** The module's number for a note; a figure behind it is a wait in milliseconds. */
+    private static long why(String note) {
+        return switch (note) {
+            case "all_trunks_busy" -> 1;
+            case "via_said_no" -> 2;
+            case "cpu_full" -> 3;
+            case "number_busy" -> 4;
+            case "far_cpu_full" -> 18;
+            default -> 0;
+        };
+    }
+
+    private List<Leg> legs(Line line) {
+        List<Leg> result = new ArrayList<>();
+        byCall.values().forEach(leg -> {
+            if (leg.line == line) {
+                result.add(leg);
+            }
+        });
+        result.sort(Comparator.comparingLong(leg -> leg.call));
+        return result;
+    }
+
+    private void forget(Leg leg) {
+        byCall.remove(leg.call, leg);
+        byId.remove(leg.offer.id(), leg);
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private static final class Leg {
+        final long call;
+        final int copy;
+        final Line line;
+        final Offer offer;
+        final TrunkMessage message;
+        NetSocket on;
+        long sentMs;
+        boolean stands;
+
+        Leg(long call, int copy, Line line, Offer offer, TrunkMessage message) {
+            this.call = call;
+            this.copy = copy;
+            this.line = line;
+            this.offer = offer;
+            this.message = message;
+        }
+    }
+
+    private record Probe(String server, long sentNs, long timer) { }
+}
--- a/src/test/java/grebewick/benchlink/WireTest.java
+++ b/src/test/java/grebewick/benchlink/WireTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import grebewick.CallControl;
-import grebewick.CallControl.*;
+import grebewick.core.CallControl;
+import grebewick.core.CallControl.*;
 import java.io.BufferedReader;
 import java.io.StringReader;
 import java.io.StringWriter;
--- a/src/test/java/grebewick/FleetTest.java
+++ b/src/test/java/grebewick/core/FleetTest.java
@@ -1,13 +1,13 @@
-package grebewick;
+package grebewick.core;
 
-import static grebewick.Rig.SECOND;
-import static grebewick.Rig.at;
-import static grebewick.Rig.attempt;
-import static grebewick.Rig.settings;
-import static grebewick.Rig.up;
+import static grebewick.core.Rig.SECOND;
+import static grebewick.core.Rig.at;
+import static grebewick.core.Rig.attempt;
+import static grebewick.core.Rig.settings;
+import static grebewick.core.Rig.up;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import grebewick.CallControl.*;
+import grebewick.core.CallControl.*;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
--- a/src/test/java/grebewick/LogicTest.java
+++ b/src/test/java/grebewick/core/LogicTest.java
@@ -1,17 +1,17 @@
-package grebewick;
+package grebewick.core;
 
-import static grebewick.Rig.SECOND;
-import static grebewick.Rig.at;
-import static grebewick.Rig.attempt;
-import static grebewick.Rig.settings;
-import static grebewick.Rig.up;
+import static grebewick.core.Rig.SECOND;
+import static grebewick.core.Rig.at;
+import static grebewick.core.Rig.attempt;
+import static grebewick.core.Rig.settings;
+import static grebewick.core.Rig.up;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import grebewick.CallControl.*;
+import grebewick.core.CallControl.*;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -435,7 +435,7 @@
 
     @Test
     void theModuleKeepsItsSizeAndColumns() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/grebewick/Logic.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/grebewick/core/Logic.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 850);
         lines.forEach(l -> assertTrue(l.length() <= 110, l));
         assertTrue(lines.stream().limit(30).anyMatch(l -> l.contains("CallControl.java")));
--- a/src/test/java/grebewick/Rig.java
+++ b/src/test/java/grebewick/core/Rig.java
@@ -1,6 +1,6 @@
-package grebewick;
+package grebewick.core;
 
-import grebewick.CallControl.*;
+import grebewick.core.CallControl.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
