--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -3,7 +3,9 @@
 import grebewick.benchlink.Adapter;
 import grebewick.config.BadConfig;
 import grebewick.config.NodeConfig;
+import grebewick.diameter.DiameterConfig;
 import java.io.IOException;
+import java.util.Map;
 
 /** The command line: {@code serve} runs a gatekeeper, {@code benchlink} the simulator's adapter. */
 public final class Main {
@@ -16,7 +18,11 @@
             case "benchlink" -> System.exit(Adapter.run());
             case "serve" -> {
                 try {
-                    Daemon.start(NodeConfig.load(System.getenv()));
+                    Map<String, String> env = System.getenv();
+                    String diameter = env.get("RELAY_DIAMETER");
+                    // With a Diameter file alone there is no platform, and so no configuration of one.
+                    Daemon.start(diameter != null && !env.containsKey("RELAY_CONFIG") ? null : NodeConfig.load(env),
+                        diameter == null ? null : DiameterConfig.load(diameter));
                 } catch (BadConfig e) {
                     System.err.println("grebewick: " + e.getMessage());
                     System.exit(2);
--- /dev/null
+++ b/src/main/java/grebewick/Node.java
@@ -0,0 +1,81 @@
+package grebewick;
+
+import grebewick.config.Endpoint;
+import grebewick.config.NodeConfig;
+import grebewick.core.CallControl.Fleet;
+import grebewick.core.CallControl.Scope;
+import grebewick.core.Clock;
+import grebewick.core.Gatekeeper;
+import grebewick.core.Logic;
+import grebewick.core.Timers;
+import grebewick.names.FleetPoller;
+import grebewick.peers.PeerLink;
+import grebewick.sip.SipFront;
+import grebewick.trunk.Trunk;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The platform's gatekeeper: callers by SIP, recipe servers by the binary protocol. All calls on one event loop. */
+public final class Node {
+    private final Vertx vertx;
+    private final NodeConfig config;
+    private final Consumer<String> log;
+    private final Trunk trunk;
+    private final Gatekeeper<byte[]> core;
+    private final SipFront front;
+    private PeerLink peers;
+
+    /** Wires the parts; {@link #start} opens the sockets. */
+    public Node(Vertx vertx, NodeConfig config, Clock clock, Timers timers, Consumer<String> log) {
+        this.vertx = vertx;
+        this.config = config;
+        this.log = log;
+        trunk = new Trunk(vertx, config.settings(), clock, timers, log);
+        core = new Gatekeeper<>(config.settings(), new Logic(config.settings(), config.seed()), clock, timers, trunk,
+            (peer, bytes) -> {
+                if (peers != null) {
+                    peers.send(peer, bytes);
+                }
+            }, log);
+        trunk.attach(core);
+        front = new SipFront(vertx, core, clock, timers, log);
+    }
+
+    /** Opens all sockets; gives the port where callers are taken. */
+    public Future<Integer> start() {
+        if (config.peerListen() != null) {
+            peers = new PeerLink(vertx, config.peers(), config.peersAll(), core::neighbourSays);
+            peers.listen(config.peerListen()).onFailure(e -> log.accept("peers: " + e.getMessage()));
+        }
+        tell(Scope.PERSISTED, config.known());
+        if (config.names() != null) {
+            new FleetPoller(vertx, config.names(), config.index(), list -> tell(Scope.COMPLETE, list), log).start();
+        }
+        return front.listen(config.listen()).map(server -> server.actualPort());
+    }
+
+    /** The list of servers as it now is. */
+    void tell(Scope scope, List<Endpoint> list) {
+        // The lines first: the module may send to a new server within the turn that tells of it.
+        Map<String, Long> dead = trunk.list(list);
+        core.fleet(new Fleet(scope, 0, list.stream().map(Endpoint::entry).toList()), dead);
+    }
+
+    /** From now on tests fail, so that callers go elsewhere; calls are still taken. */
+    public void failTests() {
+        front.failTests();
+    }
+
+    /** From now on calls are refused. */
+    public void refuseCalls() {
+        front.refuseCalls();
+    }
+
+    /** Calls that wait, have an attempt out or stand. */
+    public int calls() {
+        return core.calls();
+    }
+}
--- a/src/main/java/grebewick/core/Callers.java
+++ b/src/main/java/grebewick/core/Callers.java
@@ -1,9 +1,9 @@
 package grebewick.core;
 
 /** Port to the side that offers calls. Exactly one of the first three is used for a call that is not hung up. */
-public interface Callers {
+public interface Callers<P> {
     /** The call stands, with the description that the server gave. */
-    void stands(long call, byte[] description);
+    void stands(long call, P description);
 
     /** Refused; the caller may come back after {@code comeBackUs} (0: no advice). */
     void refused(long call, long comeBackUs);
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -18,7 +19,7 @@
  * <p>A call is held, out at one server, or standing. Its life, from top to bottom: {@link #offer}, attempt,
  * {@link #ended} or {@link #stood}, the answer, then {@link #over}, {@link #releasedByCaller} or a cut.
  */
-public final class Gatekeeper {
+public final class Gatekeeper<P> {
     /** us. What is kept back of a caller's wait, so that the answer is there before it gives up. */
     static final long ANSWER_MARGIN_US = 50_000;
 
@@ -29,11 +30,11 @@
     private final CallControl module;
     private final Clock clock;
     private final Timers timers;
-    private final Servers servers;
+    private final Servers<P> servers;
     private final BiConsumer<Integer, byte[]> peers;
     private final Consumer<String> log;
-    private final Map<Long, Life> calls = new HashMap<>();
-    private final Map<String, Known> fleet = new HashMap<>();
+    private final Map<Long, Life<P>> calls = new HashMap<>();
+    private final Map<String, Stage> fleet = new HashMap<>();
     private final PriorityQueue<Wake> wakes =
         new PriorityQueue<>(Comparator.comparingLong(Wake::atUs).thenComparingLong(Wake::order));
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
@@ -41,11 +42,12 @@
     private long nextCall = 1;
     private long nowUs;
     private long armedUs = Long.MAX_VALUE;
+    private Runnable armed = () -> { };
     private boolean turning;
     private int unanswered;
 
     /** {@code peers} takes a gatekeeper's number (negative: all) and at most 256 bytes for it. */
-    public Gatekeeper(Settings set, CallControl module, Clock clock, Timers timers, Servers servers,
+    public Gatekeeper(Settings set, CallControl module, Clock clock, Timers timers, Servers<P> servers,
                       BiConsumer<Integer, byte[]> peers, Consumer<String> log) {
         this.set = set;
         this.module = module;
@@ -59,10 +61,10 @@
     // ---- the life of a call
 
     /** A caller's call. The answer comes through {@code caller}, at the earliest before this returns. */
-    public long offer(Offer offer, Callers caller) {
+    public long offer(Offer<P> offer, Callers<P> caller) {
         long id = nextCall++;
         turn(() -> {
-            Life life = new Life(id, offer, caller, nowUs + Math.max(0, offer.leftUs() - ANSWER_MARGIN_US));
+            Life<P> life = new Life<>(id, offer, caller, nowUs + Math.max(0, offer.leftUs() - ANSWER_MARGIN_US));
             unanswered++;
             calls.put(id, life);
             if (unanswered > set.bounds().maxOpen()) {
@@ -78,7 +80,7 @@
 
     /** The module's choice of a server. The rules hold here even where the module should be wrong. */
     private void attempt(Attempt a) {
-        Life life = calls.get(a.call());
+        Life<P> life = calls.get(a.call());
         if (life == null) {
             log.accept("guard: an attempt for call " + a.call() + ", which is over");
             return;
@@ -98,8 +100,8 @@
     }
 
     /** Why an attempt may not leave, or null. */
-    private String breach(Life life, int copy, String server) {
-        Known known = fleet.get(server);
+    private String breach(Life<P> life, int copy, String server) {
+        Stage stage = fleet.get(server);
         if (life.answered) {
             return "call " + life.id + " is answered";
         } else if (life.out != null) {
@@ -108,9 +110,9 @@
             return "call " + life.id + " has no attempts left";
         } else if (nowUs < life.notBeforeUs) {
             return "call " + life.id + " awaits its release";
-        } else if (known == null) {
+        } else if (stage == null) {
             return server + " is not listed";
-        } else if (known.stage != Stage.HEALTHY) {
+        } else if (stage != Stage.HEALTHY) {
             return server + " drains or is gone";
         }
         return nowUs >= life.dropDeadUs ? "call " + life.id + " is past its time" : null;
@@ -119,14 +121,14 @@
     /** An attempt ended without standing. */
     public void ended(long call, int copy, State state, long why, List<Double> metrics) {
         turn(() -> {
-            Life life = calls.get(call);
+            Life<P> life = calls.get(call);
             if (life != null && life.out != null && life.out.copy == copy) {
                 end(life, state, why, metrics);
             }
         });
     }
 
-    private void end(Life life, State state, long why, List<Double> metrics) {
+    private void end(Life<P> life, State state, long why, List<Double> metrics) {
         Out out = life.out;
         life.out = null;
         if (state == State.TIMED_OUT || state == State.RESET_BY_PEER || state == State.CANCELED) {
@@ -139,8 +141,8 @@
     }
 
     /** An attempt stands; false where nothing waits for it any more and the server is to release it. */
-    public boolean stood(long call, int copy, byte[] description, List<Double> metrics) {
-        Life life = calls.get(call);
+    public boolean stood(long call, int copy, P description, List<Double> metrics) {
+        Life<P> life = calls.get(call);
         if (life == null || life.out == null || life.out.copy != copy || life.answered) {
             return false;
         }
@@ -163,14 +165,14 @@
     /** The server ended a standing call. */
     public void over(long call, Ending ending, List<Double> metrics) {
         turn(() -> {
-            Life life = calls.get(call);
+            Life<P> life = calls.get(call);
             if (life != null && life.standsAt != null) {
                 finish(life, ending, metrics);
             }
         });
     }
 
-    private void finish(Life life, Ending ending, List<Double> metrics) {
+    private void finish(Life<P> life, Ending ending, List<Double> metrics) {
         calls.remove(life.id);
         life.caller.released(life.id, ending);
         inbox.add(new Result(life.id, life.copies - 1, ending == Ending.CUT ? State.RESET_BY_PEER : State.OK, true,
@@ -180,7 +182,7 @@
     /** The caller ended a standing call. */
     public void releasedByCaller(long call) {
         turn(() -> {
-            Life life = calls.get(call);
+            Life<P> life = calls.get(call);
             if (life != null && life.standsAt != null) {
                 calls.remove(call);
                 servers.release(call, life.standsAt);
@@ -193,7 +195,7 @@
     /** The caller gave the set-up up: nothing is owed, and what is out is given up. */
     public void hangup(long call) {
         turn(() -> {
-            Life life = calls.get(call);
+            Life<P> life = calls.get(call);
             if (life != null && !life.answered) {
                 answer(life, () -> { });
                 inbox.add(new Hangup(call));
@@ -204,13 +206,13 @@
         });
     }
 
-    private void giveUp(Life life, State state) {
+    private void giveUp(Life<P> life, State state) {
         servers.giveUp(life.id, life.out.copy, life.out.server);
         end(life, state, 0, List.of());
     }
 
     /** The one place where a call that does not stand gets its final answer. */
-    private void answer(Life life, Runnable how) {
+    private void answer(Life<P> life, Runnable how) {
         if (life.answered) {
             return;
         }
@@ -223,8 +225,8 @@
     }
 
     /** Answers at once; an attempt still out is given up, as no answer of it could be passed on. */
-    private void answerNow(long call, Consumer<Life> how) {
-        Life life = calls.get(call);
+    private void answerNow(long call, Consumer<Life<P>> how) {
+        Life<P> life = calls.get(call);
         if (life != null && !life.answered) {
             answer(life, () -> how.accept(life));
             if (life.out != null) {
@@ -235,38 +237,35 @@
 
     // ---- news of the servers
 
-    /** News of the list: calls that stood on what is gone or has started anew since are cut. */
-    public void fleet(Fleet news) {
+    /** News of the list; a call that stood at one of {@code dead} before the moment given is cut. */
+    public void fleet(Fleet news, Map<String, Long> dead) {
         turn(() -> {
             if (news.scope() != Scope.PARTIAL && news.scope() != Scope.ERROR) {
-                fleet.values().forEach(known -> known.stage = Stage.DEREGISTERED);
+                fleet.clear();
             }
             for (ServerEntry entry : news.entries()) {
-                Known known = fleet.computeIfAbsent(entry.server(), name -> new Known());
-                known.stage = entry.stage();
-                known.launchedUs = entry.launchedUs();
+                fleet.put(entry.server(), entry.stage());
             }
-            fleet.forEach((name, known) -> cut(name, known.stage == Stage.DEREGISTERED ? nowUs : known.launchedUs));
-            fleet.values().removeIf(known -> known.stage == Stage.DEREGISTERED);
             inbox.add(news);
+            new TreeMap<>(dead).forEach(this::cut);
         });
     }
 
     /** The server's process is known to be dead: it refuses connections. */
     public void died(String server) {
-        turn(() -> cut(server, nowUs));
+        turn(() -> cut(server, Long.MAX_VALUE));
     }
 
     /** A call that stood there before {@code beforeUs} can't stand any more. */
     private void cut(String server, long beforeUs) {
-        List<Life> lost = new ArrayList<>();
-        for (Life life : calls.values()) {
+        List<Life<P>> lost = new ArrayList<>();
+        for (Life<P> life : calls.values()) {
             if (server.equals(life.standsAt) && life.stoodUs < beforeUs) {
                 lost.add(life);
             }
         }
         lost.sort(Comparator.comparingLong(life -> life.id));
-        for (Life life : lost) {
+        for (Life<P> life : lost) {
             servers.release(life.id, server);
             finish(life, Ending.CUT, List.of());
         }
@@ -284,8 +283,7 @@
 
     // ---- turns and time
 
-    /** A moment asked of {@link Timers} has come. */
-    public void wake() {
+    private void wake() {
         armedUs = Long.MAX_VALUE;
         turn(() -> { });
     }
@@ -320,7 +318,8 @@
         }
         if (!wakes.isEmpty() && wakes.peek().atUs < armedUs) {
             armedUs = wakes.peek().atUs;
-            timers.wakeAt(armedUs);
+            armed.run();
+            armed = timers.after(armedUs - nowUs, this::wake);
         }
     }
 
@@ -340,7 +339,7 @@
             inbox.add(new Due(wake.name));
             return;
         }
-        Life life = calls.get(wake.call);
+        Life<P> life = calls.get(wake.call);
         if (life == null || life.standsAt != null) {
             return;
         }
@@ -364,7 +363,7 @@
         if (action instanceof Attempt a) {
             attempt(a);
         } else if (action instanceof Withdraw a) {
-            Life life = calls.get(a.call());
+            Life<P> life = calls.get(a.call());
             if (life != null && life.out != null && life.out.copy == a.copy()) {
                 giveUp(life, State.CANCELED);
             }
@@ -386,10 +385,10 @@
         // Observe and Fetch: the list is polled all the time.
     }
 
-    private static final class Life {
+    private static final class Life<P> {
         final long id;
-        final Offer offer;
-        final Callers caller;
+        final Offer<P> offer;
+        final Callers<P> caller;
         final long dropDeadUs;
         int copies;
         Out out;
@@ -398,7 +397,7 @@
         long stoodUs;
         long notBeforeUs = Long.MIN_VALUE;
 
-        Life(long id, Offer offer, Callers caller, long dropDeadUs) {
+        Life(long id, Offer<P> offer, Callers<P> caller, long dropDeadUs) {
             this.id = id;
             this.offer = offer;
             this.caller = caller;
@@ -406,11 +405,6 @@
         }
     }
 
-    private static final class Known {
-        Stage stage;
-        long launchedUs;
-    }
-
     private record Out(int copy, String server, long sentUs) { }
 
     /** {@code call} 0: the module's reminder; else the end of attempt {@code name}, negative: of the call. */
--- a/src/main/java/grebewick/core/Servers.java
+++ b/src/main/java/grebewick/core/Servers.java
@@ -1,9 +1,9 @@
 package grebewick.core;
 
 /** Port to the servers. What comes back is reported to the {@link Gatekeeper} by call, copy and server. */
-public interface Servers {
+public interface Servers<P> {
     /** Send a set-up; the gatekeeper itself gives it up after {@code waitUs}. */
-    void setUp(long call, int copy, String server, Offer offer, long waitUs);
+    void setUp(long call, int copy, String server, Offer<P> offer, long waitUs);
 
     /** Give up a set-up that is out; what it may still bring is to be released. */
     void giveUp(long call, int copy, String server);
--- a/src/main/java/grebewick/core/Timers.java
+++ b/src/main/java/grebewick/core/Timers.java
@@ -1,8 +1,8 @@
 package grebewick.core;
 
-/** Port for being woken: one wake-up is pending at most, and a new one takes the place of the old. */
+/** Port for work to be done later, on the one event loop. */
 @FunctionalInterface
 public interface Timers {
-    /** Call {@link Gatekeeper#wake()} at {@code momentUs} or soon after. */
-    void wakeAt(long momentUs);
+    /** Runs the task once {@code us} microseconds have passed; what is returned calls it off. */
+    Runnable after(long us, Runnable task);
 }
--- /dev/null
+++ b/src/main/java/grebewick/diameter/DiameterConfig.java
@@ -0,0 +1,52 @@
+package grebewick.diameter;
+
+import grebewick.benchlink.Codec;
+import grebewick.benchlink.Fields;
+import grebewick.benchlink.WireException;
+import grebewick.config.Address;
+import grebewick.config.BadConfig;
+import grebewick.core.CallControl.Settings;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+
+/** The Diameter front's own file, such as {@code deploy/diameter.json}. {@code clients} empty: any may connect. */
+public record DiameterConfig(Address listen, String host, String realm, Set<String> clients, String band,
+                             long requestUs, long watchdogUs, long jitterUs, long reconnectUs, List<Peer> peers,
+                             Settings settings) {
+    /** RFC 3539: Tw is 6 s at the least. Tests may go lower, files may not. */
+    private static final long LEAST_WATCHDOG_MS = 6_000;
+
+    /** A server that authorises. */
+    record Peer(String host, Address address, int group, String zone) { }
+
+    /** Reads the file. */
+    public static DiameterConfig load(String path) {
+        try {
+            return parse(Files.readString(Path.of(path)));
+        } catch (IOException e) {
+            throw new BadConfig("RELAY_DIAMETER: cannot read the file");
+        }
+    }
+
+    static DiameterConfig parse(String text) {
+        try {
+            Fields f = new Fields("diameter", Fields.asObject("diameter", Codec.parse(text)));
+            Settings settings = Codec.settings(f.object("settings"));
+            long watchdogMs = f.integer("watchdog_ms", 30_000);
+            if (watchdogMs < LEAST_WATCHDOG_MS) {
+                throw new BadConfig("diameter: field watchdog_ms is under " + LEAST_WATCHDOG_MS);
+            }
+            List<Peer> peers = f.objects("peers").stream().map(p -> new Peer(p.string("host"),
+                Address.parse(p.string("address")), (int) p.integer("group", 0), p.string("zone", ""))).toList();
+            return new DiameterConfig(Address.parse(f.string("listen")), f.string("host"), f.string("realm"),
+                Set.copyOf(f.strings("clients")), f.string("class", settings.grades().get(0).name()),
+                f.integer("request_ms", 9_000) * 1000, watchdogMs * 1000, f.integer("jitter_ms", 2_000) * 1000,
+                f.integer("reconnect_ms", 30_000) * 1000, peers, settings);
+        } catch (WireException | IndexOutOfBoundsException e) {
+            throw new BadConfig("diameter: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -0,0 +1,298 @@
+package grebewick.diameter;
+
+import static grebewick.diameter.DiameterMessage.*;
+
+import grebewick.core.Callers;
+import grebewick.core.Clock;
+import grebewick.core.Ending;
+import grebewick.core.Gatekeeper;
+import grebewick.core.Offer;
+import grebewick.core.Timers;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** The clients' side over Diameter: sessions from AAR to STR or ASR (NASREQ, RFC 7155). */
+final class DiameterFront implements Connection.Owner {
+    /** Answers that are kept for repeats, RFC 6733, section 3. */
+    private static final int REMEMBERED = 5_000;
+    /** us. What a refused client is told where the module gives no advice. */
+    private static final long COME_BACK_US = 1_000_000;
+    /** AVPs that this node understands; another one with the M bit can't be passed over. */
+    private static final Set<Integer> KNOWN = Set.of(Avp.USER_NAME, Avp.REPLY_MESSAGE, Avp.CLASS, Avp.SESSION_TIMEOUT,
+        Avp.ACCT_INTERIM_INTERVAL, Avp.AUTH_APPLICATION_ID, Avp.VENDOR_SPECIFIC_APPLICATION_ID, Avp.SESSION_ID,
+        Avp.ORIGIN_HOST, Avp.ORIGIN_REALM, Avp.DESTINATION_HOST, Avp.DESTINATION_REALM, Avp.ROUTE_RECORD, Avp.PROXY_INFO,
+        Avp.AUTH_REQUEST_TYPE, Avp.ORIGIN_STATE_ID, Avp.AUTHORIZATION_LIFETIME, Avp.TERMINATION_CAUSE,
+        // Of NASREQ and the RADIUS space: password, NAS address, port, service, framing, stations, NAS id, port type and id.
+        2, 4, 5, 6, 7, 8, 12, 30, 31, 32, 61, 87, 95, 276, 277);
+
+    private final DiameterConfig config;
+    private final Identity me;
+    private final Gatekeeper<DiameterMessage> core;
+    private final Clock clock;
+    private final Timers timers;
+    private final Consumer<String> log;
+    private final Set<Connection> connections = new LinkedHashSet<>();
+    private final Map<Connection, Watchdog> watchdogs = new HashMap<>();
+    private final Map<String, Session> sessions = new HashMap<>();
+    private final Map<String, DiameterMessage> repeats = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, DiameterMessage> eldest) {
+            return size() > REMEMBERED;
+        }
+    };
+    private long nextOffer = 1;
+    private int nextEndToEnd;
+    private boolean stopping;
+
+    DiameterFront(DiameterConfig config, Identity me, Gatekeeper<DiameterMessage> core, Clock clock, Timers timers,
+                  Consumer<String> log) {
+        this.config = config;
+        this.me = me;
+        this.core = core;
+        this.clock = clock;
+        this.timers = timers;
+        this.log = log;
+        this.nextEndToEnd = (int) (clock.nowUs() >> 4);
+    }
+
+    void accept(NetSocket socket) {
+        connections.add(new Connection(socket, me, false, timers, config.watchdogUs(), this, log));
+    }
+
+    /** New sessions are refused, and the clients asked to go. */
+    void stop() {
+        stopping = true;
+        List.copyOf(connections).stream().filter(Connection::isOpen).forEach(Connection::disconnect);
+    }
+
+    // ---- connections
+
+    @Override
+    public boolean admits(String asked) {
+        return config.clients().isEmpty() || config.clients().contains(asked);
+    }
+
+    @Override
+    public void open(Connection c) {
+        connections.add(c);
+        Watchdog watchdog = new Watchdog(timers, new Watchdog.Peer() {
+            @Override
+            public void sendWatchdog() {
+                c.sendWatchdog();
+            }
+
+            @Override
+            public void closeConnection() {
+                c.close("its watchdog is lost");
+            }
+
+            @Override
+            public void changed(Watchdog.State from, Watchdog.State to) {
+                log.accept("diameter: client " + c.peer() + " " + from + " -> " + to);
+            }
+        }, config.watchdogUs(), config.jitterUs(), c.peer().hashCode());
+        watchdogs.put(c, watchdog);
+        watchdog.up();
+    }
+
+    @Override
+    public void heard(Connection c, DiameterMessage m) {
+        watchdogs.get(c).heard(!m.isRequest() && m.command() == DEVICE_WATCHDOG);
+    }
+
+    @Override
+    public void draining(Connection c) {
+        log.accept("diameter: client " + c.peer() + " leaves");
+    }
+
+    @Override
+    public void closed(Connection c) {
+        connections.remove(c);
+        Watchdog watchdog = watchdogs.remove(c);
+        if (watchdog != null) {
+            watchdog.down();
+        }
+        for (Session s : List.copyOf(sessions.values())) {
+            if (s.on == c && !s.answered) {
+                s.answered = true;
+                sessions.remove(s.id, s);
+                repeats.remove(s.key);
+                core.hangup(s.call);
+            }
+        }
+    }
+
+    // ---- requests
+
+    @Override
+    public void request(Connection on, DiameterMessage m) {
+        String key = m.text(Avp.ORIGIN_HOST) + "/" + Integer.toHexString(m.endToEnd());
+        if (repeats.containsKey(key)) {
+            // A repeat of what is in hand is dropped, of what was answered gets the same answer: never a second one.
+            DiameterMessage given = repeats.get(key);
+            if (given != null) {
+                on.send(given.with(given.flags(), m.hopByHop(), given.avps()));
+            }
+            return;
+        }
+        check(m);
+        switch (m.command()) {
+            case AA -> authorise(on, m, key);
+            case SESSION_TERMINATION -> terminate(on, m);
+            default -> throw new DiameterException(DiameterException.COMMAND_UNSUPPORTED, "command " + m.command(), null);
+        }
+    }
+
+    private void check(DiameterMessage m) {
+        if (m.command() != AA && m.command() != SESSION_TERMINATION) {
+            throw new DiameterException(DiameterException.COMMAND_UNSUPPORTED, "command " + m.command(), null);
+        }
+        if (m.application() != NASREQ) {
+            throw new DiameterException(DiameterException.APPLICATION_UNSUPPORTED, "application " + m.application(), null);
+        }
+        for (int code : new int[] {Avp.SESSION_ID, Avp.ORIGIN_HOST, Avp.ORIGIN_REALM, Avp.DESTINATION_REALM,
+            Avp.AUTH_APPLICATION_ID, m.command() == AA ? Avp.AUTH_REQUEST_TYPE : Avp.TERMINATION_CAUSE}) {
+            m.need(code);
+        }
+        for (Avp a : m.avps()) {
+            if (a.mandatory() && (a.vendor() != 0 || !KNOWN.contains(a.code()))) {
+                throw new DiameterException(DiameterException.AVP_UNSUPPORTED, "AVP " + a.code() + " is not known", a);
+            }
+            if (a.code() == Avp.ROUTE_RECORD && a.vendor() == 0 && a.text().equals(me.host())) {
+                throw new DiameterException(DiameterException.LOOP_DETECTED, "the request was here before", null);
+            }
+        }
+        if (m.need(Avp.AUTH_APPLICATION_ID).unsigned() != NASREQ) {
+            throw new DiameterException(DiameterException.APPLICATION_UNSUPPORTED, "another Auth-Application-Id", null);
+        }
+    }
+
+    private void authorise(Connection on, DiameterMessage m, String key) {
+        Session s = new Session(on, m, key);
+        if (sessions.containsKey(s.id)) {
+            // Re-authorisation within a session is not offered here.
+            throw new DiameterException(DiameterException.UNABLE_TO_COMPLY, "the session is open", null);
+        }
+        repeats.put(key, null);
+        if (stopping) {
+            s.refused(0, 0);
+            return;
+        }
+        sessions.put(s.id, s);
+        s.call = core.offer(new Offer<>(nextOffer++, config.band(), m.text(Avp.USER_NAME), config.requestUs(),
+            m.mayBeRepeat(), false, 1, group(m.text(Avp.DESTINATION_HOST)), -1, m), s);
+    }
+
+    /** The number of the server of first choice, -1 for none. */
+    private int group(String host) {
+        for (DiameterConfig.Peer p : config.peers()) {
+            if (p.host().equals(host)) {
+                return p.group();
+            }
+        }
+        return -1;
+    }
+
+    private void terminate(Connection on, DiameterMessage m) {
+        Session s = sessions.get(m.need(Avp.SESSION_ID).text());
+        if (s == null || !s.answered) {
+            throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
+        }
+        sessions.remove(s.id, s);
+        on.send(m.answer(me, SUCCESS));
+        if (!s.aborted) {
+            core.releasedByCaller(s.call);
+        }
+    }
+
+    /** Sessions that are open, or asked for. */
+    int sessions() {
+        return sessions.size();
+    }
+
+    /** One session on this side. */
+    private final class Session implements Callers<DiameterMessage> {
+        final String id;
+        final String key;
+        final Connection on;
+        final DiameterMessage request;
+        long call;
+        boolean answered;
+        boolean aborted;
+
+        Session(Connection on, DiameterMessage request, String key) {
+            this.on = on;
+            this.request = request;
+            this.key = key;
+            this.id = request.text(Avp.SESSION_ID);
+        }
+
+        /** The one place where an AAR gets its answer. */
+        private void answer(DiameterMessage answer) {
+            answered = true;
+            repeats.put(key, answer);
+            on.send(answer);
+        }
+
+        @Override
+        public void stands(long number, DiameterMessage given) {
+            answer(given.with(given.flags(), request.hopByHop(), given.avps()));
+            aborted = given.result() / 1000 != 2;
+        }
+
+        @Override
+        public void refused(long number, long comeBackUs) {
+            sessions.remove(id, this);
+            long ms = (comeBackUs > 0 ? comeBackUs : COME_BACK_US) / 1000;
+            answer(request.answer(me, DiameterException.TOO_BUSY,
+                Avp.note(Avp.ERROR_MESSAGE, "come back in " + ms + " ms")));
+        }
+
+        @Override
+        public void failed(long number) {
+            sessions.remove(id, this);
+            answer(request.answer(me, DiameterException.UNABLE_TO_DELIVER));
+        }
+
+        /** A session that was never open needs no end; an open one is aborted, and its STR answered when it comes. */
+        @Override
+        public void released(long number, Ending ending) {
+            if (aborted) {
+                sessions.remove(id, this);
+                return;
+            }
+            aborted = true;
+            List<Avp> avps = new ArrayList<>();
+            avps.add(Avp.text(Avp.SESSION_ID, id));
+            avps.addAll(me.origin());
+            avps.add(Avp.text(Avp.DESTINATION_REALM, request.text(Avp.ORIGIN_REALM)));
+            avps.add(Avp.text(Avp.DESTINATION_HOST, request.text(Avp.ORIGIN_HOST)));
+            avps.add(Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ));
+            DiameterMessage asr = new DiameterMessage(REQUEST | PROXIABLE, ABORT_SESSION, NASREQ, 0, nextEndToEnd++, avps);
+            Connection to = on.isOpen() ? on : another();
+            // The client ends the session with an STR; one that is away has no session to come back to.
+            timers.after(config.requestUs(), () -> sessions.remove(id, this));
+            if (to != null) {
+                to.request(asr, asa -> { });
+            }
+        }
+
+        private Connection another() {
+            for (Connection c : connections) {
+                if (c.isOpen() && c.peer().equals(on.peer())) {
+                    return c;
+                }
+            }
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/grebewick/diameter/Identity.java
@@ -0,0 +1,10 @@
+package grebewick.diameter;
+
+import java.util.List;
+
+/** Who a node is: its identity and realm, and a number that grows with each start (Origin-State-Id). */
+record Identity(String host, String realm, long stateId) {
+    List<Avp> origin() {
+        return List.of(Avp.text(Avp.ORIGIN_HOST, host), Avp.text(Avp.ORIGIN_REALM, realm));
+    }
+}
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -1,9 +1,11 @@
 package grebewick.sip;
 
 import grebewick.core.Callers;
+import grebewick.core.Clock;
 import grebewick.core.Ending;
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
+import grebewick.core.Timers;
 import grebewick.config.Address;
 import grebewick.sip.SipMessage.Header;
 import io.vertx.core.Future;
@@ -25,13 +27,16 @@
 public final class SipFront {
     /** s. What a refused caller is told where the module gives no advice. */
     private static final long COME_BACK_S = 1;
-    /** ms. After this a BYE that was written and brought no answer has arrived or never will. */
-    private static final long BYE_MS = 5_000;
-    /** ms. How long a BYE waits for a connection from callers. */
-    private static final long OWED_MS = 60_000;
+    /** us. After this a BYE that was written and brought no answer has arrived or never will. */
+    private static final long BYE_US = 5_000_000;
+    /** us. How long a BYE waits for a connection from callers. */
+    private static final long OWED_US = 60_000_000;
+    private static final long SWEEP_US = 1_000_000;
 
     private final Vertx vertx;
-    private final Gatekeeper core;
+    private final Gatekeeper<byte[]> core;
+    private final Clock clock;
+    private final Timers timers;
     private final Consumer<String> log;
     private final Map<Long, Session> sessions = new HashMap<>();
     private final Map<Long, Bye> byes = new LinkedHashMap<>();
@@ -40,15 +45,17 @@
     private boolean takesCalls = true;
 
     /** Makes the front of a core. */
-    public SipFront(Vertx vertx, Gatekeeper core, Consumer<String> log) {
+    public SipFront(Vertx vertx, Gatekeeper<byte[]> core, Clock clock, Timers timers, Consumer<String> log) {
         this.vertx = vertx;
         this.core = core;
+        this.clock = clock;
+        this.timers = timers;
         this.log = log;
     }
 
     /** Listens; ready once the result is there. */
     public Future<NetServer> listen(Address address) {
-        vertx.setPeriodic(1000, t -> sweep());
+        timers.after(SWEEP_US, this::sweep);
         return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(1024))
             .connectHandler(this::accept).listen(address.port(), address.host());
     }
@@ -140,7 +147,7 @@
         if (sessions.containsKey(id)) {
             return;
         }
-        Offer offer;
+        Offer<byte[]> offer;
         try {
             offer = offer(id, m);
         } catch (RuntimeException e) {
@@ -156,7 +163,7 @@
         session.call = core.offer(offer, session);
     }
 
-    private static Offer offer(long id, SipMessage m) {
+    private static Offer<byte[]> offer(long id, SipMessage m) {
         Map<String, Double> attrs = new HashMap<>();
         for (String part : m.header("X-Attrs", "").split(";")) {
             int colon = part.indexOf(':');
@@ -172,7 +179,7 @@
         if (tier == null) {
             throw new IllegalArgumentException("no X-Tier");
         }
-        return new Offer(id, tier, number, Long.parseLong(m.header("X-Deadline")) * 1000,
+        return new Offer<>(id, tier, number, Long.parseLong(m.header("X-Deadline")) * 1000,
             m.header("X-Resent", "0").equals("1"), attrs.getOrDefault("again", 0.0) == 1,
             attrs.getOrDefault("width", 1.0), attrs.getOrDefault("dest", -1.0).intValue(),
             attrs.getOrDefault("via", -1.0), m.body());
@@ -199,14 +206,15 @@
     private void send(Bye bye, NetSocket on) {
         bye.on = on;
         if (on != null) {
-            bye.sentMs = nowMs();
+            bye.sentUs = clock.nowUs();
             write(on, bye.message);
         }
     }
 
     private void sweep() {
-        long now = nowMs();
-        byes.values().removeIf(bye -> now - bye.sentMs > (bye.on != null ? BYE_MS : OWED_MS));
+        timers.after(SWEEP_US, this::sweep);
+        long now = clock.nowUs();
+        byes.values().removeIf(bye -> now - bye.sentUs > (bye.on != null ? BYE_US : OWED_US));
     }
 
     private void write(NetSocket on, SipMessage m) {
@@ -215,22 +223,19 @@
         }
     }
 
-    private static long nowMs() {
-        return System.nanoTime() / 1_000_000;
-    }
-
     private static final class Bye {
         final SipMessage message;
         NetSocket on;
-        long sentMs = nowMs();
+        long sentUs;
 
-        Bye(SipMessage message) {
+        Bye(SipMessage message, long sentUs) {
             this.message = message;
+            this.sentUs = sentUs;
         }
     }
 
     /** One call on this side. */
-    private final class Session implements Callers {
+    private final class Session implements Callers<byte[]> {
         final long id;
         final NetSocket on;
         final SipMessage invite;
@@ -277,7 +282,8 @@
             headers.add(new Header("Call-ID", invite.header("Call-ID", invite.header("i", ""))));
             headers.add(new Header("CSeq", "1 BYE"));
             headers.add(new Header("Reason", "Q.850;cause=" + (ending == Ending.CUT ? 41 : 16)));
-            Bye bye = new Bye(SipMessage.request("BYE", "sip:peer@net", headers.toArray(Header[]::new)));
+            Bye bye = new Bye(SipMessage.request("BYE", "sip:peer@net", headers.toArray(Header[]::new)),
+                clock.nowUs());
             byes.put(id, bye);
             send(bye, connections.contains(on) ? on : any());
         }
--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -1,7 +1,8 @@
 package grebewick.trunk;
 
 import grebewick.config.Address;
-import io.vertx.core.Vertx;
+import grebewick.core.Clock;
+import grebewick.core.Timers;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
@@ -13,8 +14,12 @@
 
 /** The connection to one recipe server: opened as soon as the server is listed, and again when it is lost. */
 final class Line {
-    /** ms. Between tries to connect. */
-    private static final long RETRY_MS = 300;
+    /** us. Between tries to connect. */
+    private static final long RETRY_US = 300_000;
+    /** us. For what is open on a connection that another took the place of. */
+    private static final long OLD_US = 5_000_000;
+    /** us. After which a server that is gone from the list has nothing more to say. */
+    private static final long GONE_US = 10_000_000;
     /** Bytes not yet taken by the network above which a connection counts as stuck. */
     private static final int BACKLOG = 1 << 20;
 
@@ -33,8 +38,9 @@
 
     final String id;
     long launchedUs;
-    private final Vertx vertx;
     private final NetClient client;
+    private final Clock clock;
+    private final Timers timers;
     private final Owner owner;
     private final Consumer<String> log;
     private final ArrayDeque<TrunkMessage> owed = new ArrayDeque<>();
@@ -43,14 +49,17 @@
     private NetSocket current;
     private boolean connecting;
     private boolean listed = true;
-    private long heardMs;
+    private long heardUs;
+    private int stuck;
 
-    Line(String id, Address address, long launchedUs, Vertx vertx, NetClient client, Owner owner, Consumer<String> log) {
+    Line(String id, Address address, long launchedUs, NetClient client, Clock clock, Timers timers, Owner owner,
+         Consumer<String> log) {
         this.id = id;
         this.address = address;
         this.launchedUs = launchedUs;
-        this.vertx = vertx;
         this.client = client;
+        this.clock = clock;
+        this.timers = timers;
         this.owner = owner;
         this.log = log;
     }
@@ -64,9 +73,9 @@
         return connecting;
     }
 
-    /** When anything was last heard, in the loop's own milliseconds. */
-    long heardMs() {
-        return heardMs;
+    /** When anything was last heard. */
+    long heardUs() {
+        return heardUs;
     }
 
     /** It may have moved or started anew: a connection from before may be dead without a word. */
@@ -100,7 +109,7 @@
         NetSocket before = current;
         current = socket;
         open.add(socket);
-        heardMs = now();
+        heardUs = clock.nowUs();
         TrunkCodec codec = new TrunkCodec();
         socket.handler(bytes -> read(socket, codec, bytes));
         socket.exceptionHandler(e -> socket.close());
@@ -114,12 +123,12 @@
         }
         if (before != null) {
             // What is open there may still end by itself; afterwards it is of no use.
-            vertx.setTimer(5_000, t -> before.close());
+            timers.after(OLD_US, before::close);
         }
     }
 
     private void read(NetSocket socket, TrunkCodec codec, Buffer bytes) {
-        heardMs = now();
+        heardUs = clock.nowUs();
         try {
             codec.read(bytes, message -> owner.message(this, socket, message));
         } catch (RuntimeException e) {
@@ -146,7 +155,7 @@
             current.close();
         }
         owner.unreachable(this, refused);
-        vertx.setTimer(RETRY_MS, t -> {
+        timers.after(RETRY_US, () -> {
             if (current == null) {
                 connect();
             }
@@ -178,8 +187,6 @@
         socket.write(TrunkCodec.encode(message));
     }
 
-    private int stuck;
-
     void closeIdle() {
         if (current != null) {
             current.close();
@@ -190,10 +197,7 @@
     void gone() {
         listed = false;
         owed.clear();
-        vertx.setTimer(10_000, t -> Set.copyOf(open).forEach(NetSocket::close));
+        timers.after(GONE_US, () -> Set.copyOf(open).forEach(NetSocket::close));
     }
 
-    private static long now() {
-        return System.nanoTime() / 1_000_000;
-    }
 }
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -5,10 +5,12 @@
 import grebewick.config.Endpoint;
 import grebewick.core.CallControl.Settings;
 import grebewick.core.CallControl.State;
+import grebewick.core.Clock;
 import grebewick.core.Ending;
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Servers;
+import grebewick.core.Timers;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
@@ -22,64 +24,75 @@
 import java.util.function.Consumer;
 
 /** The recipe servers over their binary protocol: one line to each, and the calls that are on them. */
-public final class Trunk implements Servers, Line.Owner {
-    /** ms. Silence after a set-up that casts doubt on a connection. */
-    private static final long DOUBT_MS = 500;
+public final class Trunk implements Servers<byte[]>, Line.Owner {
+    /** us. Silence after a set-up that casts doubt on a connection. */
+    private static final long DOUBT_US = 500_000;
 
-    private final Vertx vertx;
+    private final Clock clock;
+    private final Timers timers;
     private final NetClient client;
     private final Reports reports;
-    private final long probeMs;
+    private final long probeUs;
     private final Consumer<String> log;
     private final Map<String, Line> lines = new TreeMap<>();
     private final Map<Long, Leg> byCall = new HashMap<>();
     private final Map<Long, Leg> byId = new HashMap<>();
     private final Map<Long, Probe> probes = new HashMap<>();
-    private Gatekeeper core;
+    private Gatekeeper<byte[]> core;
     private long nextProbe = 1;
 
     /** Makes the trunk side; {@link #attach} gives it its core before anything is listed. */
-    public Trunk(Vertx vertx, Settings set, Consumer<String> log) {
-        this.vertx = vertx;
+    public Trunk(Vertx vertx, Settings set, Clock clock, Timers timers, Consumer<String> log) {
+        this.clock = clock;
+        this.timers = timers;
         this.log = log;
         reports = new Reports(set.report().fields());
-        probeMs = Math.max(1, set.bounds().connectTimeoutUs() / 1000) * 2;
+        probeUs = Math.max(1000, set.bounds().connectTimeoutUs()) * 2;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, set.bounds().connectTimeoutUs() / 1000)));
     }
 
     /** Names the core that is told what happens. */
-    public void attach(Gatekeeper gatekeeper) {
+    public void attach(Gatekeeper<byte[]> gatekeeper) {
         core = gatekeeper;
     }
 
-    /** The whole list as it now is: lines to new servers are opened, those of gone ones end. */
-    public void list(List<Endpoint> endpoints) {
+    /**
+     * The whole list as it now is: lines to new servers are opened, those of gone ones end. Gives the servers
+     * whose calls from before a moment can't stand any more.
+     */
+    public Map<String, Long> list(List<Endpoint> endpoints) {
         Map<String, Endpoint> now = new TreeMap<>();
+        Map<String, Long> dead = new TreeMap<>();
         endpoints.forEach(e -> now.put(e.entry().server(), e));
         lines.values().removeIf(line -> {
             boolean gone = !now.containsKey(line.id);
             if (gone) {
                 line.gone();
+                dead.put(line.id, Long.MAX_VALUE);
             }
             return gone;
         });
         now.forEach((id, e) -> {
             Line line = lines.get(id);
             if (line != null) {
+                if (e.entry().launchedUs() > line.launchedUs) {
+                    dead.put(id, e.entry().launchedUs());
+                }
                 line.update(e.address(), e.entry().launchedUs());
                 return;
             }
-            line = new Line(id, e.address(), e.entry().launchedUs(), vertx, client, this, log);
+            line = new Line(id, e.address(), e.entry().launchedUs(), client, clock, timers, this, log);
             lines.put(id, line);
             line.connect();
         });
+        return dead;
     }
 
     // ---- from the core
 
     @Override
-    public void setUp(long call, int copy, String server, Offer offer, long waitUs) {
+    public void setUp(long call, int copy, String server, Offer<byte[]> offer, long waitUs) {
         Line line = lines.get(server);
         if (line == null) {
             core.ended(call, copy, State.IGNORED, 0, List.of());
@@ -98,7 +111,7 @@
 
     private void leave(Leg leg) {
         leg.on = leg.line.current();
-        leg.sentMs = nowMs();
+        leg.sentUs = clock.nowUs();
         leg.line.send(leg.on, leg.message);
     }
 
@@ -113,7 +126,7 @@
             return;
         }
         leg.line.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
-        if (leg.on == leg.line.current() && leg.line.heardMs() < leg.sentMs && nowMs() - leg.sentMs > DOUBT_MS) {
+        if (leg.on == leg.line.current() && leg.line.heardUs() < leg.sentUs && clock.nowUs() - leg.sentUs > DOUBT_US) {
             // Guards against a silent, vanished server: only a new connection tells it from a slow one.
             leg.line.connect();
         }
@@ -136,9 +149,9 @@
             return;
         }
         long id = nextProbe++;
-        probes.put(id, new Probe(server, System.nanoTime(), vertx.setTimer(probeMs, t -> {
+        probes.put(id, new Probe(server, clock.nowUs(), timers.after(probeUs, () -> {
             if (probes.remove(id) != null) {
-                core.checked(server, State.TIMED_OUT, probeMs * 1000, List.of());
+                core.checked(server, State.TIMED_OUT, probeUs, List.of());
             }
         })));
         line.send(line.current(), of(TEST, id, 1));
@@ -196,9 +209,9 @@
             case TESTED -> {
                 Probe probe = probes.remove(m.call());
                 if (probe != null) {
-                    vertx.cancelTimer(probe.timer);
+                    probe.cancel.run();
                     core.checked(probe.server, m.cause() == 1 ? State.OK : State.FAILED,
-                        (System.nanoTime() - probe.sentNs) / 1000, reports.read(m.report()));
+                        clock.nowUs() - probe.sentUs, reports.read(m.report()));
                 }
             }
             default -> { }
@@ -269,21 +282,17 @@
         byId.remove(leg.offer.id(), leg);
     }
 
-    private static long nowMs() {
-        return System.nanoTime() / 1_000_000;
-    }
-
     private static final class Leg {
         final long call;
         final int copy;
         final Line line;
-        final Offer offer;
+        final Offer<byte[]> offer;
         final TrunkMessage message;
         NetSocket on;
-        long sentMs;
+        long sentUs;
         boolean stands;
 
-        Leg(long call, int copy, Line line, Offer offer, TrunkMessage message) {
+        Leg(long call, int copy, Line line, Offer<byte[]> offer, TrunkMessage message) {
             this.call = call;
             this.copy = copy;
             this.line = line;
@@ -292,5 +301,5 @@
         }
     }
 
-    private record Probe(String server, long sentNs, long timer) { }
+    private record Probe(String server, long sentUs, Runnable cancel) { }
 }
--- /dev/null
+++ b/src/test/java/grebewick/NodeTest.java
@@ -0,0 +1,229 @@
+package grebewick;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.config.Address;
+import grebewick.config.Endpoint;
+import grebewick.config.NodeConfig;
+import grebewick.core.CallControl.Scope;
+import grebewick.core.CallControl.Stage;
+import grebewick.play.Scenario;
+import grebewick.play.Sites;
+import grebewick.sip.SipDialect;
+import grebewick.trunk.TrunkDialect;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The platform's front on sockets: callers c and d, recipe servers s1 (first choice) and s2. */
+class NodeTest {
+    private final Scenario s = new Scenario();
+    private final List<String> log = new ArrayList<>();
+    private Node node;
+    private Endpoint one;
+    private Endpoint two;
+
+    @BeforeEach
+    void start() {
+        one = endpoint("s1", s.server("s1", new TrunkDialect()), Stage.HEALTHY, 0);
+        two = endpoint("s2", s.server("s2", new TrunkDialect()), Stage.HEALTHY, 1);
+        NodeConfig config = new NodeConfig("n0", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
+            List.of(one, two), Sites.settings());
+        int port = s.await(() -> {
+            node = new Node(s.vertx, config, s.clock, s.clock, log::add);
+            return node.start();
+        });
+        s.client("c", new SipDialect(), port);
+        s.client("d", new SipDialect(), port);
+        s.play("s1 has no more\n s2 has no more");
+    }
+
+    @AfterEach
+    void noCallIsLeft() {
+        assertThat(s.on(() -> node.calls())).isZero();
+        s.close();
+    }
+
+    private static Endpoint endpoint(String id, int port, Stage stage, int place) {
+        return new Endpoint(Sites.entry(id, place, stage, 0), new Address("127.0.0.1", port));
+    }
+
+    @Test
+    void aCallStandsWithTheServersDescriptionAndEnds() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01 a 55 offer-01
+            s1 > progress 01
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c > ACK 01
+            s1 > release 01 16
+            s1 < released 01
+            c < BYE 01 16
+            c > 200 BYE 01
+            c has no more
+            s1 > release 01 16
+            s1 < released 01
+            c has no more""");
+    }
+
+    @Test
+    void aFullServerIsFollowedByTheOther() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > release 01 34 cpu_full
+            s1 < released 01
+            s2 < set-up 01*
+            s2 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c > BYE 01
+            c < 200 BYE 01
+            s2 < release 01 16""");
+    }
+
+    /** Guards against calls held until their end: a refusal is given at once, with a time to come back. */
+    @Test
+    void withoutAServerACallIsRefusedAtOnce() {
+        s.on(() -> {
+            node.tell(Scope.COMPLETE, List.of(endpoint("s1", one.address().port(), Stage.CORDONED, 0),
+                endpoint("s2", two.address().port(), Stage.CORDONED, 1)));
+            return null;
+        });
+        s.play("""
+            c > INVITE 01
+            c has no more
+            wait 801
+            c < 503 INVITE 01 retry=1
+            s1 has no more
+            s2 has no more""");
+    }
+
+    /** Guards the release rule and against calls that stand for nobody after a late answer. */
+    @Test
+    void aTimeOutIsReleasedAndTheOtherServerAskedAfterTheReleaseTime() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            wait 1301
+            s1 < release 01 16
+            wait 498
+            s2 has no more
+            wait 2
+            s2 < set-up 01*
+            s1 > answer 01 late
+            s1 < release 01 16
+            s2 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c has no more
+            c > BYE 01
+            c < 200 BYE 01
+            s2 < release 01 16""");
+    }
+
+    @Test
+    void aCallerThatGivesUpIsAnsweredOnceAndTheServerToldToo() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            c > CANCEL 01
+            c < 200 CANCEL 01
+            c < 487 INVITE 01
+            s1 < release 01 16
+            s1 > answer 01 late
+            s1 < release 01 16
+            c > INVITE 02
+            s1 < set-up 02*
+            c closes
+            s1 < release 02 16""");
+    }
+
+    /** Guards against two attempts out: a connection that breaks under a set-up is a reset, with its wait. */
+    @Test
+    void aLostConnectionEndsTheAttemptAsReset() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 stops
+            s1 closes
+            wait 499
+            s2 has no more
+            wait 2
+            s2 < set-up 01*
+            s2 > release 01 47
+            s2 < released 01
+            wait 4000
+            c < 503 INVITE 01 retry=1""");
+    }
+
+    /** Guards against standing calls that nobody ends: their server's process is gone. */
+    @Test
+    void aServerThatRefusesConnectionsHasCutItsCalls() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            s1 stops
+            s1 closes
+            c < BYE 01 41""");
+    }
+
+    @Test
+    void aReleaseOwedGoesOutOnTheNextConnection() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c closes
+            s1 > release 01 41
+            s1 < released 01
+            d > OPTIONS 77
+            d < BYE 01 41
+            d < 200 OPTIONS 77""");
+    }
+
+    @Test
+    void whatIsNotSipEndsThatConnectionAlone() {
+        s.play("""
+            c > raw GARBAGE||
+            c sees the end
+            d > INVITE 01 deadline=x
+            d < 400 INVITE 01
+            d has no more""");
+        assertThat(log).anyMatch(line -> line.startsWith("sip: closed"));
+    }
+
+    @Test
+    void whatIsNotTheTrunksProtocolEndsThatConnectionAndItIsOpenedAgain() {
+        s.play("""
+            s1 > raw \0\1xyz
+            s1 sees the end
+            s1 has no more
+            c has no more""");
+    }
+
+    @Test
+    void aGatekeeperThatStopsFailsItsTestAndFinishesItsCalls() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*""");
+        s.on(() -> {
+            node.failTests();
+            node.refuseCalls();
+            return null;
+        });
+        s.play("""
+            c > OPTIONS 02
+            c < 503 OPTIONS 02
+            c > INVITE 03
+            c < 503 INVITE 03 retry=1
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            s1 > release 01 16
+            c < BYE 01 16""");
+    }
+}
--- /dev/null
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -0,0 +1,183 @@
+package grebewick.play;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Plays a scenario against a program on loopback sockets. A line is {@code PARTY > MESSAGE} (send),
+ * {@code PARTY < MESSAGE} (expect; {@code *} at the end stands for any rest), {@code PARTY closes},
+ * {@code PARTY sees the end}, {@code PARTY listens}, {@code PARTY stops}, {@code PARTY has no more} or
+ * {@code wait MS}. Expectations wait for the message itself; only {@code wait} lets time pass.
+ */
+public final class Scenario implements AutoCloseable {
+    private static final long PATIENCE_S = 20;
+
+    public final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    public final HandClock clock = new HandClock();
+    private final Context loop = vertx.getOrCreateContext();
+    private final Map<String, Party> parties = new LinkedHashMap<>();
+
+    /** Runs a step on the event loop and waits for it. */
+    public <T> T on(Callable<T> step) {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.runOnContext(v -> {
+            try {
+                done.complete(step.call());
+            } catch (Throwable e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return get(done);
+    }
+
+    /** Waits for what a step on the event loop starts. */
+    public <T> T await(Callable<Future<T>> step) {
+        return get(on(step).toCompletionStage().toCompletableFuture());
+    }
+
+    private static <T> T get(CompletableFuture<T> done) {
+        try {
+            return done.get(PATIENCE_S, TimeUnit.SECONDS);
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** A stand-in server; gives its port. */
+    public int server(String name, Dialect dialect) {
+        Party party = new Party(name, dialect);
+        parties.put(name, party);
+        party.listen();
+        return party.port;
+    }
+
+    /** A stand-in client; it connects when it first sends. */
+    public void client(String name, Dialect dialect, int port) {
+        Party party = new Party(name, dialect);
+        party.port = port;
+        parties.put(name, party);
+    }
+
+    /** Plays the lines. */
+    public Scenario play(String lines) {
+        lines.lines().map(String::strip).filter(line -> !line.isEmpty()).forEach(this::step);
+        return this;
+    }
+
+    private void step(String line) {
+        String[] words = line.split(" ", 3);
+        if (words[0].equals("wait")) {
+            long ms = Long.parseLong(words[1]);
+            on(() -> {
+                clock.pass(ms * 1000);
+                return null;
+            });
+            return;
+        }
+        Party party = parties.get(words[0]);
+        switch (words[1]) {
+            case ">" -> party.send(words[2]);
+            case "<" -> party.expect(words[2]);
+            case "closes" -> party.close();
+            case "sees" -> party.expect("(closed)");
+            case "listens" -> party.listen();
+            case "stops" -> party.stop();
+            case "has" -> {
+                party.send(party.dialect.ping()[0]);
+                party.expect(party.dialect.ping()[1]);
+            }
+            default -> throw new IllegalArgumentException(line);
+        }
+    }
+
+    @Override
+    public void close() {
+        get(vertx.close().toCompletionStage().toCompletableFuture());
+    }
+
+    private final class Party {
+        final String name;
+        final Dialect dialect;
+        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        final BlockingQueue<NetSocket> came = new LinkedBlockingQueue<>();
+        int port;
+        NetServer server;
+        volatile NetSocket socket;
+
+        Party(String name, Dialect dialect) {
+            this.name = name;
+            this.dialect = dialect;
+        }
+
+        void listen() {
+            server = await(() -> vertx.createNetServer().connectHandler(s -> {
+                attach(s);
+                came.add(s);
+            }).listen(port, "127.0.0.1"));
+            port = server.actualPort();
+        }
+
+        void stop() {
+            await(() -> server.close());
+        }
+
+        void attach(NetSocket s) {
+            socket = s;
+            s.handler(dialect.reader(heard::add)::accept);
+            s.closeHandler(v -> heard.add("(closed)"));
+        }
+
+        void send(String text) {
+            if (server == null && socket == null) {
+                await(() -> vertx.createNetClient().connect(port, "127.0.0.1").onSuccess(this::attach));
+            } else if (socket == null) {
+                try {
+                    assertThat(came.poll(PATIENCE_S, TimeUnit.SECONDS)).as(name + " has a connection").isNotNull();
+                } catch (InterruptedException e) {
+                    throw new AssertionError(e);
+                }
+            }
+            Buffer bytes = dialect.encode(text);
+            on(() -> socket.write(bytes));
+        }
+
+        void close() {
+            await(() -> socket.close());
+            expect("(closed)");
+            socket = null;
+            came.clear();
+        }
+
+        void expect(String wanted) {
+            String got;
+            try {
+                got = heard.poll(PATIENCE_S, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+            if (wanted.endsWith("*")) {
+                assertThat(got).as(name).startsWith(wanted.substring(0, wanted.length() - 1));
+            } else {
+                assertThat(got).as(name).isEqualTo(wanted);
+            }
+            if (wanted.equals("(closed)")) {
+                socket = null;
+                came.clear();
+            }
+        }
+    }
+}
