Show the Diameter front by scenarios with stand-in peers

One path each for sessions, aborts, refusals, failover after a lost peer, drains, reopened peers, repeats and the result codes of RFC 6733; the hard cases of stalled requests behind answered watchdogs and of watchdog loss in a load jump, with a tally of one answer per request.

Two scenarios raced with a close that the program had not yet seen; they now wait for what shows it.

--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -146,8 +146,8 @@
         s.play("""
             c > INVITE 01
             s1 < set-up 01*
-            s1 stops
             s1 closes
+            s1 has no more
             wait 499
             s2 has no more
             wait 2
--- /dev/null
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -0,0 +1,285 @@
+package grebewick.diameter;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.config.Address;
+import grebewick.play.Scenario;
+import grebewick.play.Sites;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The Diameter front on sockets: a client c, authorising peers p1 (first choice) and p2. Tw is 10 s, no jitter. */
+class DiameterNodeTest {
+    private final Scenario s = new Scenario();
+    private final List<String> log = new ArrayList<>();
+    private DiameterNode node;
+
+    @BeforeEach
+    void start() {
+        DiameterConfig config = new DiameterConfig(new Address("127.0.0.1", 0), "gk", "realm", Set.of("c"), "a", 9_000_000,
+            10_000_000, 0, 1_000_000, List.of(peer("p1", 0), peer("p2", 1)), Sites.settings());
+        int port = s.await(() -> {
+            node = new DiameterNode(s.vertx, config, 1, s.clock, s.clock, log::add);
+            return node.start();
+        }).actualPort();
+        s.client("c", new DiameterDialect("c", 1), port);
+        s.client("x", new DiameterDialect("x", 1), port);
+        s.play("""
+            p1 < CER
+            p1 > CEA
+            p2 < CER
+            p2 > CEA
+            p1 has no more
+            p2 has no more
+            c > CER
+            c < CEA 2001""");
+    }
+
+    private DiameterConfig.Peer peer(String host, int group) {
+        return new DiameterConfig.Peer(host, new Address("127.0.0.1", s.server(host, new DiameterDialect(host, 1))), group, "z");
+    }
+
+    /** No request and no session has been left behind. */
+    @AfterEach
+    void nothingIsLeft() {
+        assertThat(s.on(() -> node.calls() + node.sessions())).isZero();
+        s.close();
+    }
+
+    private boolean logged(String text) {
+        return log.stream().anyMatch(line -> line.contains(text));
+    }
+
+    @Test
+    void aSessionIsAuthorisedAndEndedByItsClient() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > AAA s 2001
+            c < AAA s 2001
+            c > STR s
+            c < STA s 2001
+            p1 < STR s
+            p1 > STA s
+            c > STR s
+            c < STA s 5002
+            c has no more""");
+    }
+
+    @Test
+    void aServerAbortsItsSession() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > AAA s 2001
+            c < AAA s 2001
+            p1 > ASR s
+            p1 < ASA s 2001
+            p1 < STR s
+            c < ASR s
+            c > ASA s
+            c > STR s
+            c < STA s 2001
+            p1 > ASR s
+            p1 < ASA s 5002""");
+    }
+
+    @Test
+    void aServersNoIsTheOneAnswerAndLeavesNoSession() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > AAA s 5003
+            c < AAA s 5003
+            c has no more
+            p2 has no more""");
+    }
+
+    @Test
+    void aBusyServerIsFollowedByTheOtherAndARefusalIsTooBusy() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > AAA s 3004
+            p2 < AAR s T
+            p2 > AAA s 3004
+            p2 has no more
+            wait 4000
+            c < AAA s 3004 E
+            c has no more""");
+    }
+
+    /** Guards the release rule: the attempt at a lost peer is a reset, and failover waits for it. */
+    @Test
+    void aLostPeerIsAResetAndTheWaitHoldsBeforeFailover() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 closes""").until(() -> logged("p1 OKAY -> DOWN")).play("""
+            wait 499
+            p2 has no more
+            wait 2
+            p2 < AAR s T
+            p2 > AAA s 2001
+            c < AAA s 2001
+            c > STR s
+            c < STA s 2001
+            p2 < STR s""");
+    }
+
+    /** The hard case of a peer whose watchdog answers while its requests stall. */
+    @Test
+    void aPeerThatAnswersWatchdogsWhileRequestsStallLosesThemToTheOther() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 has no more
+            wait 1301
+            p1 has no more
+            wait 501
+            p2 < AAR s T
+            p2 > AAA s 2001
+            c < AAA s 2001
+            p1 > AAA s 2001
+            p1 < STR s
+            c has no more
+            c > STR s
+            c < STA s 2001
+            p2 < STR s""");
+    }
+
+    /** The hard case of watchdog loss in a load jump, with a tally of the answers to each request. */
+    @Test
+    void watchdogLossInALoadJumpLeavesOneAnswerForEachRequest() {
+        s.play("""
+            wait 10001
+            p1 < DWR
+            p2 < DWR
+            c < DWR
+            p2 > DWA
+            c > DWA
+            p2 has no more""");
+        int requests = 30;
+        StringBuilder jump = new StringBuilder();
+        for (int i = 0; i < requests; i++) {
+            jump.append("c > AAR j").append(i).append('\n');
+        }
+        s.play(jump + "c has no more");
+        // p1 never answers again, neither requests nor watchdogs: SUSPECT after another Tw, closed after a third.
+        List<String> answers = new ArrayList<>(List.of());
+        s.play("wait 9800");
+        s.play("wait 300");
+        assertThat(logged("p1 OKAY -> SUSPECT")).isTrue();
+        s.play("wait 10001");
+        s.until(() -> logged("p1 SUSPECT -> DOWN"));
+        s.play("c > DWR");
+        for (String line = s.next("c"); !line.startsWith("DWA"); line = s.next("c")) {
+            answers.add(line);
+        }
+        answers.removeIf(line -> line.equals("DWR"));
+        assertThat(answers.stream().map(line -> line.split(" ")[1])).doesNotHaveDuplicates().hasSize(requests);
+        assertThat(answers).allMatch(line -> line.contains("3004") || line.contains("3002"));
+    }
+
+    @Test
+    void aDrainingPeerGetsNothingNew() {
+        s.play("""
+            p1 > DPR
+            p1 < DPA 2001
+            c > AAR s
+            p2 < AAR s
+            p2 > AAA s 2001
+            c < AAA s 2001
+            p1 has no more
+            c > STR s
+            c < STA s 2001
+            p2 < STR s""");
+    }
+
+    /** A peer that comes back proves itself by three watchdogs, and is cold then. */
+    @Test
+    void aReopenedPeerGetsNothingUntilItsWatchdogsAreAnswered() {
+        s.play("p1 closes").until(() -> logged("p1 OKAY -> DOWN")).play("""
+            wait 1001
+            p1 < CER
+            p1 > CEA
+            p1 < DWR
+            c > AAR s
+            p2 < AAR s
+            p2 > AAA s 2001
+            c < AAA s 2001
+            p1 > DWA
+            p1 has no more
+            c > STR s
+            c < STA s 2001
+            p2 < STR s""");
+        assertThat(logged("p1 DOWN -> REOPEN") && !logged("REOPEN -> OKAY")).isTrue();
+    }
+
+    @Test
+    void aClientThatLeavesHangsUpItsRequestsAndALateSessionIsTerminated() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            c closes""").until(() -> logged("client c OKAY -> DOWN")).play("""
+            p1 > AAA s 2001
+            p1 < STR s""");
+    }
+
+    @Test
+    void aRepeatGetsTheSameAnswerAndNeverASecondAttempt() {
+        s.play("""
+            c > AAR s e2e=7
+            p1 < AAR s
+            c > AAR s e2e=7 flags=16
+            c has no more
+            p1 > AAA s 2001
+            c < AAA s 2001
+            c > AAR s e2e=7 flags=16
+            c < AAA s 2001
+            p1 has no more
+            c > STR s
+            c < STA s 2001
+            p1 < STR s""");
+    }
+
+    @Test
+    void faultsGetTheResultCodesOfTheRfc() {
+        s.play("""
+            c > AAR s avp=9999
+            c < AAA s 5001 failed=9999
+            c > AAR s in=4
+            c < AAA s 3007 E
+            c > AAR s without=274
+            c < AAA s 5005 failed=274
+            c > AAR s avp=282 is=gk
+            c < AAA s 3005 E
+            c > AAR s flags=32
+            c < AAA s 3008 E
+            c > ASR s
+            c < ASA s 3001 E
+            c > raw 01 00 00 1c 80 00 01 09 00 00 00 01 00 00 00 05 00 00 00 05 00 00 01 07 40 00 00 40
+            c < AAA 5014 failed=263
+            x > CER
+            x < CEA 3010 E
+            x sees the end
+            x > CER app=4
+            x < CEA 3010 E
+            x sees the end
+            c > raw 02 00 00 14 80 00 01 09 00 00 00 01 00 00 00 05 00 00 00 05
+            c < AAA 5011
+            c sees the end
+            c > CER app=4
+            c < CEA 5010
+            c sees the end
+            c > raw 01 00 00 15 80 00 01 09 00 00 00 01 00 00 00 05 00 00 00 05
+            c < AAA 5015
+            c sees the end
+            p1 has no more
+            p2 has no more""");
+    }
+}
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -72,6 +72,20 @@
         parties.put(name, party);
     }
 
+    /** Waits until the program has come to something that no party can see. */
+    public Scenario until(Callable<Boolean> condition) {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!on(condition)) {
+            assertThat(System.nanoTime()).as("the condition is never met").isLessThan(endNs);
+        }
+        return this;
+    }
+
+    /** The next message that came to a party. */
+    public String next(String party) {
+        return parties.get(party).next();
+    }
+
     /** Plays the lines. */
     public Scenario play(String lines) {
         lines.lines().map(String::strip).filter(line -> !line.isEmpty()).forEach(this::step);
@@ -162,13 +176,18 @@
             came.clear();
         }
 
-        void expect(String wanted) {
-            String got;
+        String next() {
             try {
-                got = heard.poll(PATIENCE_S, TimeUnit.SECONDS);
+                String got = heard.poll(PATIENCE_S, TimeUnit.SECONDS);
+                assertThat(got).as(name + " has heard something").isNotNull();
+                return got;
             } catch (InterruptedException e) {
                 throw new AssertionError(e);
             }
+        }
+
+        void expect(String wanted) {
+            String got = next();
             if (wanted.endsWith("*")) {
                 assertThat(got).as(name).startsWith(wanted.substring(0, wanted.length() - 1));
             } else {
