Count the way to a server beside Td in its limit

A probe of the calls given up showed limits of 1 at a server that reported room for 190 set-ups a second. Checked: no refusals, time-outs, bars or rations were at work.

--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -179,7 +179,7 @@
                 out.accept(new Observe(true));
             }
             for (Server s : servers.values()) {
-                    if (s.oldestAgeUs() > tdUs && nowUs != backlogUs) {
+                if (s.oldestAgeUs() > s.targetUs() && nowUs != backlogUs) {
                     overload(s);
                 }
             }
@@ -269,7 +269,7 @@
         s.barUs = s.faults == 0 ? tdUs : s.barUs;
         if (nowUs != backlogUs) {
             s.sample(nowUs - o.sentUs);
-            if (nowUs - o.sentUs > tdUs && !s.overtaken(o.sentUs)) {
+            if (nowUs - o.sentUs > s.targetUs() && !s.overtaken(o.sentUs)) {
                 overload(s);
             }
         }
@@ -382,7 +382,7 @@
     /** Control starts with L at the set-ups then open, floor one. */
     private void overload(Server s) {
         if (s.limit == OFF) {
-            s.limit = Math.max(1, Math.min(s.queued(), (int) (tdUs / 1e6 * Math.max(0, s.ratePerS))));
+            s.limit = Math.max(1, Math.min(s.queued(), (int) (s.targetUs() / 1e6 * Math.max(0, s.ratePerS))));
             log("starts control of " + s.id + " at " + s.limit);
         }
         s.overloaded = true;
@@ -401,7 +401,7 @@
             }
             // No evidence, no end of control: a gateway that sends little may have no outcome in an interval.
             boolean on = s.overloaded || cold(s);
-            s.limit = nextLimit(s.limit, s.completed, tdUs, tauUs, on, s.bound);
+            s.limit = nextLimit(s.limit, s.completed, s.targetUs(), tauUs, on, s.bound);
             s.overloaded = s.overloaded && s.completed == 0;
             s.bound = false;
             s.faults = s.faults >= 1 ? 1 : s.faults / 2 < 0.1 ? 0 : s.faults / 2;
@@ -562,8 +562,8 @@
      */
     private double slotUs(Server s) {
         double perUs = (Math.max(0, s.ratePerS) + usualPerS(s)) / 2e6;
-        double fade = 1 - perUs * Math.max(tdUs, holdUs);
-        return perUs <= 0 || fade <= 0 ? 0 : fade * Math.max(s.delayUs, s.oldestAgeUs()) / (perUs * tdUs);
+        double fade = 1 - perUs * Math.max(s.targetUs(), holdUs);
+        return perUs <= 0 || fade <= 0 ? 0 : fade * Math.max(s.delayUs, s.oldestAgeUs()) / (perUs * s.targetUs());
     }
 
     /**
@@ -831,6 +831,7 @@
         long sentUs = -TAU_US;
         long rationFromUs = Long.MIN_VALUE;
         double delayUs;
+        long transitUs = Long.MAX_VALUE;
         double ratePerS = -1;
         double usualLines = -1;
         double faults;
@@ -851,6 +852,15 @@
 
         void sample(long us) {
             delayUs += SMOOTH * (us - delayUs);
+            transitUs = Math.min(transitUs, us);
+        }
+
+        /**
+         * Td and the way there and back, the least delay seen: a set-up is open for both, so where the way is
+         * as long as Td, Td alone holds L at the floor of a server at ease. Too high where none found it idle.
+         */
+        long targetUs() {
+            return tdUs + (transitUs == Long.MAX_VALUE ? 0 : Math.min(transitUs, tdUs));
         }
 
         /**
