Make the stand-ins' connections follow what the loop saw, and fit the module's columns

The stand-ins now keep their current connection on the event loop. The two socket suites ran 8 times without a failure.

--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -563,7 +563,8 @@
     private double slotUs(Server s) {
         double perUs = (Math.max(0, s.ratePerS) + usualPerS(s)) / 2e6;
         double fade = 1 - perUs * Math.max(s.targetUs(), holdUs);
-        return perUs <= 0 || fade <= 0 ? 0 : fade * Math.max(s.delayUs, s.oldestAgeUs()) / (perUs * s.targetUs());
+        return perUs <= 0 || fade <= 0 ? 0
+            : fade * Math.max(s.delayUs, s.oldestAgeUs()) / (perUs * s.targetUs());
     }
 
     /**
@@ -856,8 +857,9 @@
         }
 
         /**
-         * Td and the way there and back, the least delay seen: a set-up is open for both, so where the way is
-         * as long as Td, Td alone holds L at the floor of a server at ease. Too high where none found it idle.
+         * Td and the way there and back, the least delay seen: a set-up is open for both, so where the way
+         * is as long as Td, Td alone holds L at its floor at a server at ease. Too high where none found it
+         * idle.
          */
         long targetUs() {
             return tdUs + (transitUs == Long.MAX_VALUE ? 0 : Math.min(transitUs, tdUs));
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -167,7 +167,6 @@
             s1 > answer 01 desc
             c < 200 INVITE 01 desc
             s1 stops
-            s1 closes
             c < BYE 01 41""");
     }
 
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -127,7 +127,6 @@
         final String name;
         final Dialect dialect;
         final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
-        final BlockingQueue<NetSocket> came = new LinkedBlockingQueue<>();
         int port;
         NetServer server;
         volatile NetSocket socket;
@@ -138,33 +137,31 @@
         }
 
         void listen() {
-            server = await(() -> vertx.createNetServer().connectHandler(s -> {
-                attach(s);
-                came.add(s);
-            }).listen(port, "127.0.0.1"));
+            server = await(() -> vertx.createNetServer().connectHandler(this::attach).listen(port, "127.0.0.1"));
             port = server.actualPort();
         }
 
         void stop() {
+            // Takes the connections along.
             await(() -> server.close());
+            expect("(closed)");
         }
 
         void attach(NetSocket s) {
             socket = s;
             s.handler(dialect.reader(heard::add)::accept);
-            s.closeHandler(v -> heard.add("(closed)"));
+            s.closeHandler(v -> {
+                // By then the program may have connected anew.
+                socket = socket == s ? null : socket;
+                heard.add("(closed)");
+            });
         }
 
         void send(String text) {
             if (server == null && socket == null) {
                 await(() -> vertx.createNetClient().connect(port, "127.0.0.1").onSuccess(this::attach));
-            } else if (socket == null) {
-                try {
-                    assertThat(came.poll(PATIENCE_S, TimeUnit.SECONDS)).as(name + " has a connection").isNotNull();
-                } catch (InterruptedException e) {
-                    throw new AssertionError(e);
-                }
             }
+            until(() -> socket != null);
             Buffer bytes = dialect.encode(text);
             on(() -> socket.write(bytes));
         }
@@ -172,8 +169,6 @@
         void close() {
             await(() -> socket.close());
             expect("(closed)");
-            socket = null;
-            came.clear();
         }
 
         String next() {
@@ -193,10 +188,6 @@
             } else {
                 assertThat(got).as(name).isEqualTo(wanted);
             }
-            if (wanted.equals("(closed)")) {
-                socket = null;
-                came.clear();
-            }
         }
     }
 }
