--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -329,6 +329,7 @@
                 if (code == 3) {
                     overload(s);
                     s.limit = 1;
+                    s.refuted = true;
                     // A full processor pays for each refusal: stay away, for as long as it says at the least.
                     s.pausedUntilUs = nowUs + Math.min((r.why() >> 4) * 1000, TAU_US);
                     fault(s, 1);
@@ -340,6 +341,7 @@
                 if (!s.overtaken(o.sentUs) && nowUs != backlogUs) {
                     overload(s);
                     s.limit = 1;
+                    s.refuted = true;
                     s.sample(nowUs - o.sentUs);
                     // One lost answer is no silence yet.
                     fault(s, 0.5);
@@ -546,7 +548,7 @@
         if (late && s.limit != OFF) {
             return false;
         }
-        int limit = s.faults >= 1 || s.downSeen ? 1 : s.limit;
+        int limit = limitNow(s);
         if (s.queued() >= limit || limit == 1 && nowUs - s.sentUs < slotUs(s)) {
             s.bound = true;
             return false;
@@ -554,6 +556,20 @@
         return usable(s) && rationLeft(s) && linesLeft(s, late ? 2 : 1);
     }
 
+    /**
+     * L, one where the server is not proved sound again. In the first interval N is not known: until a full
+     * processor or a time-out speaks against it, this gateway's share of the reported rate takes its place.
+     * Guards against seconds at the floor after every start; harms where reports are far too high.
+     */
+    private int limitNow(Server s) {
+        if (s.faults >= 1 || s.downSeen) {
+            return 1;
+        }
+        boolean unmeasured = s.ratePerS < 0 && !s.refuted && !cold(s) && s.canTake > 0;
+        return !unmeasured ? s.limit
+            : Math.max(s.limit, (int) (s.targetUs() / 1e6 * s.canTake / set.replicasOfMe()));
+    }
+
     /**
      * How long a slot stays taken after its send where the unrounded L = Td * N / tau is below one: the
      * set-up time over L, as with a whole L, fading out where one set-up of each gateway waits no longer than
@@ -831,6 +847,7 @@
         long stoodSentUs = Long.MIN_VALUE;
         long sentUs = -TAU_US;
         long rationFromUs = Long.MIN_VALUE;
+        boolean refuted;
         double delayUs;
         long transitUs = Long.MAX_VALUE;
         double ratePerS = -1;
--- a/src/test/java/grebewick/core/LogicTest.java
+++ b/src/test/java/grebewick/core/LogicTest.java
@@ -73,6 +73,22 @@
         assertEquals(6, rig.attempts("s0"), "past both");
     }
 
+    /** Guards against seconds at the floor after a start: the report stands in for N, until it is refuted. */
+    @Test
+    void beforeTheFirstIntervalEndsTheReportedRateStandsInForTheCount() {
+        Rig rig = new Rig(settings("pools", "push", "retryable", 4, 3, List.of("can_take")), 7, up("s0", 0));
+        rig.feed(new Checked(State.OK, "s0", 0, List.of(17.0)));
+        List<Attempt> open = rig.open("s0", 0, 4);
+        rig.offer(0);
+        assertEquals(4, rig.attempts("s0"), "its share of 17 a second, for a Td of 1 s");
+        rig.ends(open.get(0), State.QUEUE_FULL, FULL);
+        open.subList(1, 4).forEach(rig::stands);
+        rig.pass(SECOND + SECOND / 10);
+        rig.offer(0);
+        rig.offer(0);
+        assertEquals(5, rig.attempts("s0"), "refuted: the floor");
+    }
+
     @Test
     void fullSetsTheFloorAtOnceAndTheStatedWaitIsHonoured() {
         Rig rig = new Rig(settings(), 7, up("s0", 0)).settled();
