--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -22,6 +22,7 @@
 public final class Node {
     private final Vertx vertx;
     private final NodeConfig config;
+    private final Timers timers;
     private final Consumer<String> log;
     private final Trunk trunk;
     private final Gatekeeper<byte[]> core;
@@ -32,6 +33,7 @@
     public Node(Vertx vertx, NodeConfig config, Clock clock, Timers timers, Consumer<String> log) {
         this.vertx = vertx;
         this.config = config;
+        this.timers = timers;
         this.log = log;
         trunk = new Trunk(vertx, config.settings(), clock, timers, log);
         core = new Gatekeeper<>(config.settings(), new Logic(config.settings(), config.seed()), clock, timers, trunk,
@@ -52,7 +54,7 @@
         }
         tell(Scope.PERSISTED, config.known());
         if (config.names() != null) {
-            new FleetPoller(vertx, config.names(), config.index(), list -> tell(Scope.COMPLETE, list), log).start();
+            new FleetPoller(vertx, timers, config.names(), config.index(), list -> tell(Scope.COMPLETE, list), log).start();
         }
         return front.listen(config.listen()).map(server -> server.actualPort());
     }
--- a/src/main/java/grebewick/names/FleetPoller.java
+++ b/src/main/java/grebewick/names/FleetPoller.java
@@ -4,6 +4,7 @@
 import grebewick.config.Endpoint;
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Stage;
+import grebewick.core.Timers;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
@@ -27,11 +28,12 @@
 
 /** Polls the name service for the list of servers and tells each newer one, whole. */
 public final class FleetPoller {
-    /** ms. Between questions: lost datagrams must not use up the time in which a drain is to be heeded. */
-    private static final long EVERY_MS = 200;
+    /** us. Between questions: lost datagrams must not use up the time in which a drain is to be heeded. */
+    private static final long EVERY_US = 200_000;
     private static final String FLEET = "_work._tcp.fleet.local.";
 
     private final Vertx vertx;
+    private final Timers timers;
     private final Address server;
     private final Consumer<List<Endpoint>> news;
     private final Consumer<String> log;
@@ -45,8 +47,10 @@
     private int queryId;
 
     /** Tells lists later than event {@code index}. */
-    public FleetPoller(Vertx vertx, Address server, long index, Consumer<List<Endpoint>> news, Consumer<String> log) {
+    public FleetPoller(Vertx vertx, Timers timers, Address server, long index, Consumer<List<Endpoint>> news,
+                       Consumer<String> log) {
         this.vertx = vertx;
+        this.timers = timers;
         this.server = server;
         this.told = index;
         this.news = news;
@@ -66,10 +70,10 @@
         });
         socket.exceptionHandler(e -> log.accept("names: " + e.getMessage()));
         ask();
-        vertx.setPeriodic(EVERY_MS, t -> ask());
     }
 
     private void ask() {
+        timers.after(EVERY_US, this::ask);
         query(fleet, Type.SRV);
         askMissing();
     }
--- /dev/null
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -0,0 +1,157 @@
+package grebewick.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.core.CallControl.*;
+import grebewick.play.HandClock;
+import grebewick.play.Sites;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The guards of the core, against a module that breaks the rules. */
+class GatekeeperTest implements Callers<String>, Servers<String> {
+    private final HandClock clock = new HandClock();
+    private final List<String> happened = new ArrayList<>();
+    private final List<Event> seen = new ArrayList<>();
+    private Consumer<Action> module;
+    private final CallControl broken = (now, event, out) -> {
+        seen.add(event);
+        module = out;
+    };
+    private final Gatekeeper<String> core =
+        new Gatekeeper<>(Sites.settings(), broken, clock, clock, this, (peer, bytes) -> { }, line -> { });
+
+    private long call() {
+        core.fleet(new Fleet(Scope.PERSISTED, 1, List.of(Sites.entry("s1", 0, Stage.HEALTHY, 0),
+            Sites.entry("s2", 1, Stage.CORDONED, 0))), Map.of());
+        return core.offer(new Offer<>(1, "a", "55", 3_000_000, false, false, 1, 0, -1, "offer"), this);
+    }
+
+    /** What the module does comes within a turn, as it would from its own code. */
+    private void acts(Action action) {
+        core.checked("s1", State.OK, 0, List.of());
+        module.accept(action);
+        core.checked("s1", State.OK, 0, List.of());
+    }
+
+    @Test
+    void neverTwoAttemptsOutTogether() {
+        long c = call();
+        acts(new Attempt(c, "s1", 0));
+        acts(new Attempt(c, "s1", 0));
+        assertThat(happened).containsExactly("set-up s1");
+        assertThat(seen).contains(new Result(c, 1, State.IGNORED, false, "s1", 0, 0, List.of()));
+    }
+
+    @Test
+    void nothingNewToADrainingOrUnknownServer() {
+        long c = call();
+        acts(new Attempt(c, "s2", 0));
+        acts(new Attempt(c, "s3", 0));
+        assertThat(happened).isEmpty();
+    }
+
+    @Test
+    void noSecondSendWithinTheReleaseTime() {
+        long c = call();
+        acts(new Attempt(c, "s1", 100_000));
+        clock.pass(100_000);
+        acts(new Attempt(c, "s1", 0));
+        clock.pass(499_999);
+        acts(new Attempt(c, "s1", 0));
+        assertThat(happened).containsExactly("set-up s1", "give-up s1");
+        clock.pass(1);
+        acts(new Attempt(c, "s1", 0));
+        assertThat(happened).hasSize(3);
+    }
+
+    @Test
+    void aCallThatTheModuleForgetsIsAnsweredBeforeItsCallerGivesUp() {
+        call();
+        clock.pass(2_999_999);
+        assertThat(happened).containsExactly("failed");
+        assertThat(core.calls() + core.unanswered()).isZero();
+    }
+
+    @Test
+    void oneAnswerWhateverTheModuleSaysAfterIt() {
+        long c = call();
+        acts(new Attempt(c, "s1", 0));
+        acts(new Refuse(c, 5));
+        acts(new Surrender(c));
+        acts(new Attempt(c, "s1", 0));
+        assertThat(core.stood(c, 0, "late", List.of())).isFalse();
+        assertThat(happened).containsExactly("set-up s1", "refused", "give-up s1");
+        assertThat(core.calls() + core.unanswered()).isZero();
+    }
+
+    @Test
+    void aBrokenModuleDoesNotTakeTheProcessDown() {
+        Gatekeeper<String> other = new Gatekeeper<>(Sites.settings(), (now, event, out) -> {
+            throw new IllegalStateException("broken");
+        }, clock, clock, this, (peer, bytes) -> { }, line -> { });
+        other.offer(new Offer<>(1, "a", "55", 1_000_000, false, false, 1, 0, -1, "offer"), this);
+        clock.pass(1_000_000);
+        assertThat(happened).containsExactly("failed");
+    }
+
+    /** The core knows no wire: it uses the JDK and itself, nothing else. */
+    @Test
+    void theCoreImportsTheJdkAlone() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("src/main/java/grebewick/core"))) {
+            for (Path file : files.toList()) {
+                assertThat(Files.readAllLines(file)).as(file.toString()).noneMatch(line -> line.startsWith("import ")
+                    && !line.startsWith("import java.util.") && !line.startsWith("import grebewick.core."));
+                assertThat(Files.readString(file)).doesNotContain("io.vertx", "jackson", "java.net");
+            }
+        }
+    }
+
+    @Override
+    public void stands(long call, String description) {
+        happened.add("stands");
+    }
+
+    @Override
+    public void refused(long call, long comeBackUs) {
+        happened.add("refused");
+    }
+
+    @Override
+    public void failed(long call) {
+        happened.add("failed");
+    }
+
+    @Override
+    public void released(long call, Ending ending) {
+        happened.add("released " + ending);
+    }
+
+    @Override
+    public void setUp(long call, int copy, String server, Offer<String> offer, long waitUs) {
+        happened.add("set-up " + server);
+    }
+
+    @Override
+    public void giveUp(long call, int copy, String server) {
+        happened.add("give-up " + server);
+    }
+
+    @Override
+    public void release(long call, String server) {
+        happened.add("release " + server);
+    }
+
+    @Override
+    public void probe(String server) { }
+
+    @Override
+    public void closeIdle(String server) { }
+}
--- /dev/null
+++ b/src/test/java/grebewick/names/FleetPollerTest.java
@@ -0,0 +1,123 @@
+package grebewick.names;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.config.Address;
+import grebewick.config.Endpoint;
+import grebewick.core.CallControl.Stage;
+import grebewick.play.Scenario;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramSocket;
+import java.net.InetAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xbill.DNS.ARecord;
+import org.xbill.DNS.DClass;
+import org.xbill.DNS.Flags;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.SOARecord;
+import org.xbill.DNS.SRVRecord;
+import org.xbill.DNS.Section;
+import org.xbill.DNS.TXTRecord;
+import org.xbill.DNS.Type;
+
+/** The list by DNS, against a stand-in name service of dnsjava's records. */
+class FleetPollerTest {
+    private final Scenario s = new Scenario();
+    private final List<List<Endpoint>> told = new ArrayList<>();
+    private final List<String> log = new ArrayList<>();
+    private long serial = 3;
+    private int priority;
+    private String started = "0";
+    private int lost;
+    private boolean garbage;
+    private int asked;
+
+    @BeforeEach
+    void start() {
+        DatagramSocket server = s.on(() -> s.vertx.createDatagramSocket());
+        server.handler(packet -> {
+            asked++;
+            if (lost-- <= 0) {
+                server.send(Buffer.buffer(garbage ? new byte[] {1, 2, 3} : answer(packet.data().getBytes())),
+                    packet.sender().port(), packet.sender().host());
+            }
+        });
+        int port = s.await(() -> server.listen(0, "127.0.0.1")).localAddress().port();
+        s.on(() -> {
+            new FleetPoller(s.vertx, s.clock, new Address("127.0.0.1", port), 3, told::add, log::add).start();
+            return null;
+        });
+    }
+
+    @AfterEach
+    void end() {
+        s.close();
+    }
+
+    private byte[] answer(byte[] bytes) {
+        try {
+            Message question = new Message(bytes);
+            Message m = new Message(question.getHeader().getID());
+            m.getHeader().setFlag(Flags.QR);
+            m.addRecord(question.getQuestion(), Section.QUESTION);
+            Name host = Name.fromString("s-1.east.hosts.");
+            Name zone = Name.fromString("fleet.local.");
+            Record found = switch (question.getQuestion().getType()) {
+                case Type.SRV -> new SRVRecord(Name.fromString("_work._tcp.fleet.local."), DClass.IN, 0, priority, 40, 5070, host);
+                case Type.A -> new ARecord(host, DClass.IN, 0, InetAddress.getByName("127.1.0.9"));
+                default -> new TXTRecord(host, DClass.IN, 0, List.of("kind=std", "cell=2", "started=" + started));
+            };
+            m.addRecord(found, Section.ANSWER);
+            m.addRecord(new SOARecord(zone, DClass.IN, 0, zone, zone, serial, 1, 1, 1, 1), Section.AUTHORITY);
+            return m.toWire();
+        } catch (java.io.IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Lets one poll go by and waits for {@code n} questions after it. */
+    private void poll(int n) {
+        int before = s.on(() -> asked);
+        s.play("wait 200").until(() -> asked >= before + n);
+    }
+
+    @Test
+    void aNewerListIsToldOnceWholeAndInFull() {
+        poll(1);
+        assertThat(s.on(() -> told.size())).as("event 3 is known").isZero();
+        serial = 4;
+        priority = 1;
+        started = "1700000000123";
+        poll(3);
+        s.until(() -> told.size() == 1);
+        Endpoint e = told.get(0).get(0);
+        assertThat(e.address()).isEqualTo(new Address("127.1.0.9", 5070));
+        assertThat(e.entry().server()).isEqualTo("s-1");
+        assertThat(e.entry().zone()).isEqualTo("east");
+        assertThat(e.entry().placeNo()).isEqualTo(2);
+        assertThat(e.entry().stage()).isEqualTo(Stage.CORDONED);
+        assertThat(e.entry().launchedUs()).isEqualTo(1_700_000_000_123_000L);
+        assertThat(e.entry().units()).isEqualTo(4);
+        poll(1);
+        assertThat(s.on(() -> told.size())).isEqualTo(1);
+    }
+
+    @Test
+    void lostAndBrokenAnswersAreAskedForAgain() {
+        garbage = true;
+        poll(1);
+        s.until(() -> log.stream().anyMatch(line -> line.startsWith("names: ")));
+        garbage = false;
+        serial = 5;
+        lost = 1;
+        poll(1);
+        poll(3);
+        s.until(() -> told.size() == 1);
+    }
+}
