--- /dev/null
+++ b/src/test/java/grebewick/web/AdmissionHandlerTest.java
@@ -0,0 +1,88 @@
+package grebewick.web;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import grebewick.play.Scenario;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.ArrayDeque;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A route under admission, whose requests are answered when the test says so. */
+class AdmissionHandlerTest {
+    private final Scenario s = new Scenario();
+    private final ArrayDeque<RoutingContext> inRoute = new ArrayDeque<>();
+    private AdmissionHandler admission;
+
+    @BeforeEach
+    void start() {
+        int port = s.await(() -> {
+            admission = AdmissionHandler.create(new AdmissionOptions(1_000_000, 4_000_000, 10), 1, s.clock, s.clock);
+            Router router = Router.router(s.vertx);
+            router.get("/open").handler(context -> context.response().end());
+            router.get("/soup").handler(admission).handler(inRoute::add);
+            return s.vertx.createHttpServer().requestHandler(router).listen(0, "127.0.0.1");
+        }).actualPort();
+        for (String name : new String[] {"a", "b", "c"}) {
+            s.client(name, new HttpDialect(), port);
+        }
+    }
+
+    @AfterEach
+    void end() {
+        assertThat(s.on(() -> admission.open())).isZero();
+        s.close();
+    }
+
+    private void answer(int status) {
+        s.until(() -> !inRoute.isEmpty()).on(() -> inRoute.poll().response().setStatusCode(status).end());
+    }
+
+    @Test
+    void requestsAreLetOnAndTheirAnswersPassed() {
+        s.play("a > GET /soup");
+        answer(200);
+        s.play("a < 200\n b > GET /soup");
+        answer(500);
+        s.play("b < 500\n a has no more\n b has no more");
+    }
+
+    /** Guards against requests held to their end: what finds no room within the brief wait is refused then. */
+    @Test
+    void whatFindsNoRoomIsToldWhenToComeBack() {
+        s.play("a > GET /soup");
+        s.until(() -> inRoute.size() == 1);
+        s.play("b > GET /soup").until(() -> admission.open() == 2);
+        s.play("wait 401\n b < 503 retry=1");
+        assertThat(s.on(inRoute::size)).isEqualTo(1);
+        answer(200);
+        s.play("a < 200");
+    }
+
+    @Test
+    void aRouteThatIsFullIsLeftAlone() {
+        s.play("a > GET /soup");
+        answer(503);
+        s.play("a < 503\n b > GET /soup").until(() -> admission.open() == 1);
+        s.play("wait 401\n b < 503 retry=1");
+        assertThat(s.on(inRoute::isEmpty)).isTrue();
+    }
+
+    @Test
+    void aClientThatLeavesFreesItsPlace() {
+        s.play("a > GET /soup").until(() -> inRoute.size() == 1);
+        s.play("a closes").until(() -> admission.open() == 0);
+        s.on(inRoute::poll);
+        s.play("c > GET /soup");
+        answer(200);
+        s.play("c < 200");
+    }
+
+    @Test
+    void optionsThatCannotWorkAreRefused() {
+        assertThatThrownBy(() -> new AdmissionOptions(2, 1, 1)).isInstanceOf(IllegalArgumentException.class);
+    }
+}
