Serve Diameter over TLS with certificates by ACME

Ruled out on the way: the Bouncy Castle provider does not disturb TLS (probe with and without); test connections closed because a Vert.x client that nothing refers to is closed when collected, so the stand-ins now keep theirs.

--- a/src/main/java/grebewick/diameter/DiameterConfig.java
+++ b/src/main/java/grebewick/diameter/DiameterConfig.java
@@ -1,5 +1,6 @@
 package grebewick.diameter;
 
+import grebewick.acme.AcmeConfig;
 import grebewick.benchlink.Codec;
 import grebewick.benchlink.Fields;
 import grebewick.benchlink.WireException;
@@ -12,10 +13,13 @@
 import java.util.List;
 import java.util.Set;
 
-/** The Diameter front's own file, such as {@code deploy/diameter.json}. {@code clients} empty: any may connect. */
+/**
+ * The Diameter front's own file, such as {@code deploy/diameter.json}. {@code clients} empty: any may connect;
+ * {@code acme} null: without TLS.
+ */
 public record DiameterConfig(Address listen, String host, String realm, Set<String> clients, String band,
                              long requestUs, long watchdogUs, long jitterUs, long reconnectUs, List<Peer> peers,
-                             Settings settings) {
+                             Settings settings, AcmeConfig acme) {
     /** RFC 3539: Tw is 6 s at the least. Tests may go lower, files may not. */
     private static final long LEAST_WATCHDOG_MS = 6_000;
 
@@ -44,7 +48,8 @@
             return new DiameterConfig(Address.parse(f.string("listen")), f.string("host"), f.string("realm"),
                 Set.copyOf(f.strings("clients")), f.string("class", settings.grades().get(0).name()),
                 f.integer("request_ms", 9_000) * 1000, watchdogMs * 1000, f.integer("jitter_ms", 2_000) * 1000,
-                f.integer("reconnect_ms", 30_000) * 1000, peers, settings);
+                f.integer("reconnect_ms", 30_000) * 1000, peers, settings,
+                f.has("acme") ? AcmeConfig.read(f.object("acme")) : null);
         } catch (WireException | IndexOutOfBoundsException e) {
             throw new BadConfig("diameter: " + e.getMessage());
         }
--- a/src/main/java/grebewick/diameter/DiameterNode.java
+++ b/src/main/java/grebewick/diameter/DiameterNode.java
@@ -1,5 +1,6 @@
 package grebewick.diameter;
 
+import grebewick.acme.Certificates;
 import grebewick.core.Clock;
 import grebewick.core.Gatekeeper;
 import grebewick.core.Logic;
@@ -8,11 +9,19 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.ServerSSLOptions;
+import java.time.Instant;
 import java.util.function.Consumer;
 
 /** The second front: Diameter on both sides of a gatekeeper core of its own. */
 public final class DiameterNode {
+    /** us. Between looks at whether the certificate is due. */
+    private static final long LOOK_US = 12L * 3600 * 1_000_000;
+
     private final Vertx vertx;
+    private final Clock clock;
+    private final Timers timers;
+    private final Consumer<String> log;
     private final DiameterConfig config;
     private final DiameterServers servers;
     private final DiameterFront front;
@@ -22,6 +31,9 @@
     public DiameterNode(Vertx vertx, DiameterConfig config, long seed, Clock clock, Timers timers, Consumer<String> log) {
         this.vertx = vertx;
         this.config = config;
+        this.clock = clock;
+        this.timers = timers;
+        this.log = log;
         Identity me = new Identity(config.host(), config.realm(), clock.nowUs() / 1_000_000);
         servers = new DiameterServers(vertx, config, me, clock, timers, log);
         core = new Gatekeeper<>(config.settings(), new Logic(config.settings(), seed), clock, timers, servers,
@@ -32,10 +44,35 @@
     /** Connects to the servers and listens for clients. */
     public Future<NetServer> start() {
         servers.start(core);
-        return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true)).connectHandler(front::accept)
+        NetServerOptions options = new NetServerOptions().setTcpNoDelay(true);
+        if (config.acme() == null) {
+            return listen(options);
+        }
+        Certificates certificates = new Certificates(vertx, config.acme(), log);
+        return certificates.listen().compose(port -> certificates.current(now()))
+            .compose(certificate -> listen(options.setSsl(true).setKeyCertOptions(certificate)))
+            .onSuccess(server -> timers.after(LOOK_US, () -> renew(certificates, server)));
+    }
+
+    private Future<NetServer> listen(NetServerOptions options) {
+        return vertx.createNetServer(options).connectHandler(front::accept)
             .listen(config.listen().port(), config.listen().host());
     }
 
+    /** Connections that are open go on; new ones get the new certificate. */
+    private void renew(Certificates certificates, NetServer server) {
+        timers.after(LOOK_US, () -> renew(certificates, server));
+        if (certificates.due(now())) {
+            certificates.current(now())
+                .compose(certificate -> server.updateSSLOptions(new ServerSSLOptions().setKeyCertOptions(certificate)))
+                .onFailure(e -> log.accept("acme: " + e.getMessage()));
+        }
+    }
+
+    private Instant now() {
+        return Instant.ofEpochMilli(clock.nowUs() / 1000);
+    }
+
     /** Refuses new sessions and asks the clients to leave. */
     public void stop() {
         front.stop();
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -21,7 +21,7 @@
     @BeforeEach
     void start() {
         DiameterConfig config = new DiameterConfig(new Address("127.0.0.1", 0), "gk", "realm", Set.of("c"), "a", 9_000_000,
-            10_000_000, 0, 1_000_000, List.of(peer("p1", 0), peer("p2", 1)), Sites.settings());
+            10_000_000, 0, 1_000_000, List.of(peer("p1", 0), peer("p2", 1)), Sites.settings(), null);
         int port = s.await(() -> {
             node = new DiameterNode(s.vertx, config, 1, s.clock, s.clock, log::add);
             return node.start();
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -7,6 +7,8 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.util.LinkedHashMap;
@@ -65,6 +67,12 @@
         return party.port;
     }
 
+    /** A stand-in client over TLS that trusts any certificate. */
+    public void tlsClient(String name, Dialect dialect, int port) {
+        client(name, dialect, port);
+        parties.get(name).options.setSsl(true).setTrustAll(true).setHostnameVerificationAlgorithm("");
+    }
+
     /** A stand-in client; it connects when it first sends. */
     public void client(String name, Dialect dialect, int port) {
         Party party = new Party(name, dialect);
@@ -127,8 +135,10 @@
         final String name;
         final Dialect dialect;
         final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        final NetClientOptions options = new NetClientOptions();
         int port;
         NetServer server;
+        NetClient client;
         volatile NetSocket socket;
 
         Party(String name, Dialect dialect) {
@@ -159,7 +169,9 @@
 
         void send(String text) {
             if (server == null && socket == null) {
-                await(() -> vertx.createNetClient().connect(port, "127.0.0.1").onSuccess(this::attach));
+                // Kept: a client that nothing refers to is closed with its connections when it is collected.
+                client = vertx.createNetClient(options);
+                await(() -> client.connect(port, "127.0.0.1").onSuccess(this::attach));
             }
             until(() -> socket != null);
             Buffer bytes = dialect.encode(text);
