--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -694,7 +694,9 @@
         long leftUs = p.call.dropDeadUs() - nowUs;
         long aimLeftUs = p.aimUs - nowUs - set.familyInfo().releaseUs();
         // Leaves time for a second attempt within the aim, but never cuts what the throttle means to allow.
-        long patienceUs = Math.max(2 * tdUs, aimLeftUs - tdUs);
+        // Where a second could not be in time, the first is not cut before the aim: its work would be lost.
+        long secondUs = aimLeftUs - tdUs;
+        long patienceUs = secondUs >= 2 * tdUs ? secondUs : Math.max(2 * tdUs, p.aimUs - nowUs);
         Out o = new Out(s, p.attempts++, nowUs, p.call.item());
         p.server = s;
         outs.put(p.call.call(), o);
--- a/src/test/java/grebewick/core/LogicTest.java
+++ b/src/test/java/grebewick/core/LogicTest.java
@@ -12,6 +12,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import grebewick.core.CallControl.*;
+import grebewick.play.Sites;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,6 +30,16 @@
         return new Rig(settings(), 7, up("s0", 0), up("s1", 1)).settled();
     }
 
+    /** Guards against set-ups cut for the sake of a second attempt that the release time makes too late anyway. */
+    @Test
+    void aSetUpIsCutEarlyOnlyWhereASecondCouldBeInTime() {
+        Rig fits = new Rig(Sites.settings(), 7, up("s0", 0));
+        assertEquals(1_300_000, attempt(fits.offer(0), "s0").patienceUs(), "the aim less release and Td");
+        Rig late = new Rig(Sites.settings(Sites.SETTINGS.replace("\"Release\":500000", "\"Release\":1500000")), 7,
+            up("s0", 0));
+        assertEquals(2_000_000, attempt(late.offer(0), "s0").patienceUs(), "the aim");
+    }
+
     // ---- the throttle
 
     @Test
--- a/src/test/java/grebewick/play/Sites.java
+++ b/src/test/java/grebewick/play/Sites.java
@@ -20,7 +20,11 @@
     private Sites() { }
 
     public static Settings settings() {
-        return Codec.settings(new Fields("settings", Fields.asObject("settings", Codec.parse(SETTINGS))));
+        return settings(SETTINGS);
+    }
+
+    public static Settings settings(String json) {
+        return Codec.settings(new Fields("settings", Fields.asObject("settings", Codec.parse(json))));
     }
 
     public static ServerEntry entry(String id, int place, Stage stage, long launchedUs) {
