Pass on the ends of calls that stood before a restart

A standing call belongs to no connection and so to no process: a server's release of an id that this process never set up goes to the callers once, and a caller's BYE for such an id to every server.

--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -44,6 +44,8 @@
             }, log);
         trunk.attach(core);
         front = new SipFront(vertx, core, clock, timers, log);
+        trunk.onStray(front::releaseStray);
+        front.onStray(trunk::releaseStray);
     }
 
     /** Opens all sockets; gives the port where callers are taken. */
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -14,7 +14,6 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -22,6 +21,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 
 /** The callers' side over SIP: each call is a session from its INVITE to its BYE. */
 public final class SipFront {
@@ -41,6 +41,7 @@
     private final Map<Long, Session> sessions = new HashMap<>();
     private final Map<Long, Bye> byes = new LinkedHashMap<>();
     private final Set<NetSocket> connections = new LinkedHashSet<>();
+    private LongPredicate strays = id -> false;
     private boolean testsPass = true;
     private boolean takesCalls = true;
 
@@ -60,6 +61,16 @@
             .connectHandler(this::accept).listen(address.port(), address.host());
     }
 
+    /** Who may know a call that has no session here; says whether its release was passed on. */
+    public void onStray(LongPredicate told) {
+        strays = told;
+    }
+
+    /** A call that stood before this process started is over. */
+    public void releaseStray(long id, Ending ending) {
+        release(id, String.format("%016x", id), ending, null);
+    }
+
     /** From now on tests fail, so that callers go elsewhere; calls are still taken. */
     public void failTests() {
         testsPass = false;
@@ -196,13 +207,22 @@
 
     private void bye(NetSocket on, SipMessage m) {
         Session s = sessions.get(id(m));
-        write(on, s == null || !s.stands ? m.response(481, "Call/Transaction Does Not Exist") : m.response(200, "OK"));
+        boolean known = s == null ? strays.test(id(m)) : s.stands;
+        write(on, known ? m.response(200, "OK") : m.response(481, "Call/Transaction Does Not Exist"));
         if (s != null && s.stands) {
             sessions.remove(s.id, s);
             core.releasedByCaller(s.call);
         }
     }
 
+    private void release(long id, String callId, Ending ending, NetSocket on) {
+        Bye bye = new Bye(SipMessage.request("BYE", "sip:peer@net", new Header("Via", "SIP/2.0/TCP gatekeeper"),
+            new Header("Call-ID", callId), new Header("CSeq", "1 BYE"),
+            new Header("Reason", "Q.850;cause=" + (ending == Ending.CUT ? 41 : 16))), clock.nowUs());
+        byes.put(id, bye);
+        send(bye, connections.contains(on) ? on : any());
+    }
+
     private void send(Bye bye, NetSocket on) {
         bye.on = on;
         if (on != null) {
@@ -277,15 +297,7 @@
         @Override
         public void released(long number, Ending ending) {
             sessions.remove(id, this);
-            List<Header> headers = new ArrayList<>();
-            headers.add(new Header("Via", "SIP/2.0/TCP gatekeeper"));
-            headers.add(new Header("Call-ID", invite.header("Call-ID", invite.header("i", ""))));
-            headers.add(new Header("CSeq", "1 BYE"));
-            headers.add(new Header("Reason", "Q.850;cause=" + (ending == Ending.CUT ? 41 : 16)));
-            Bye bye = new Bye(SipMessage.request("BYE", "sip:peer@net", headers.toArray(Header[]::new)),
-                clock.nowUs());
-            byes.put(id, bye);
-            send(bye, connections.contains(on) ? on : any());
+            release(id, invite.header("Call-ID", invite.header("i", "")), ending, on);
         }
     }
 }
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -18,15 +18,18 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /** The recipe servers over their binary protocol: one line to each, and the calls that are on them. */
 public final class Trunk implements Servers<byte[]>, Line.Owner {
     /** us. Silence after a set-up that casts doubt on a connection. */
     private static final long DOUBT_US = 500_000;
+    private static final int MOST_OWN = 20_000;
 
     private final Clock clock;
     private final Timers timers;
@@ -38,6 +41,16 @@
     private final Map<Long, Leg> byCall = new HashMap<>();
     private final Map<Long, Leg> byId = new HashMap<>();
     private final Map<Long, Probe> probes = new HashMap<>();
+    /** Ids that this process has set up: what concerns others stems from before its start. */
+    private final Map<Long, Boolean> own = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > MOST_OWN;
+        }
+    };
+    private BiConsumer<Long, Ending> strays = (id, ending) -> { };
     private Gatekeeper<byte[]> core;
     private long nextProbe = 1;
 
@@ -52,6 +65,20 @@
             .setConnectTimeout((int) Math.max(1, set.bounds().connectTimeoutUs() / 1000)));
     }
 
+    /** Who is told of the ends of calls that stood before this process started: they belong to no process. */
+    public void onStray(BiConsumer<Long, Ending> told) {
+        strays = told;
+    }
+
+    /** Releases a call of before this process started, wherever it stands; false for a call of its own. */
+    public boolean releaseStray(long id) {
+        if (own.containsKey(id)) {
+            return false;
+        }
+        lines.values().forEach(line -> line.send(null, of(RELEASE, id, NORMAL_CLEARING)));
+        return true;
+    }
+
     /** Names the core that is told what happens. */
     public void attach(Gatekeeper<byte[]> gatekeeper) {
         core = gatekeeper;
@@ -102,6 +129,7 @@
             TrunkMessage.setUp(offer.id(), offer.band(), offer.item(), Math.max(1, waitUs / 1000), offer.description()));
         byCall.put(call, leg);
         byId.put(offer.id(), leg);
+        own.put(offer.id(), true);
         if (line.current() != null) {
             leave(leg);
         } else {
@@ -236,6 +264,9 @@
 
     private void ended(Line line, TrunkMessage m) {
         Leg leg = byId.get(m.call());
+        if (leg == null && (m.cause() == NORMAL_CLEARING || m.cause() == TEMPORARY_FAILURE) && own.put(m.call(), true) == null) {
+            strays.accept(m.call(), m.cause() == NORMAL_CLEARING ? Ending.NORMAL : Ending.CUT);
+        }
         if (leg == null || leg.line != line) {
             return;
         }
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -185,6 +185,26 @@
             d < 200 OPTIONS 77""");
     }
 
+    /** Guards against calls left standing by a restart: they belong to no process, so their ends are passed on. */
+    @Test
+    void theEndsOfCallsFromBeforeTheStartArePassedOnOnce() {
+        s.play("""
+            c > OPTIONS 77
+            c < 200 OPTIONS 77
+            s1 > release 0a 16
+            s1 < released 0a
+            c < BYE 0a 16
+            s2 > release 0a 16
+            s2 < released 0a
+            s2 > release 0b 34
+            s2 < released 0b
+            c has no more
+            c > BYE 0c
+            c < 200 BYE 0c
+            s1 < release 0c 16
+            s2 < release 0c 16""");
+    }
+
     @Test
     void whatIsNotSipEndsThatConnectionAlone() {
         s.play("""
