Take SIGHUP and move to the new name service without losing a call

Now Signals takes SIGHUP, Daemon.reload parses the file off the event loop and FleetPoller.move asks the new address at once; a bad file is logged and the old one stays. FleetPoller.read took any answer whatever its id, response code or TC flag, and told nothing of a newer list until A and TXT of every server were there, so that one lost datagram delayed a drain. Now only whole answers to open questions count, and known servers are told with the list itself. Tests cover two SIGHUPs to the process, the move, and each kind of bad answer.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -1,5 +1,6 @@
 package grebewick;
 
+import grebewick.config.BadConfig;
 import grebewick.config.NodeConfig;
 import grebewick.core.Clock;
 import grebewick.core.Timers;
@@ -8,6 +9,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -26,10 +28,11 @@
     private DiameterNode diameter;
 
     /** Either configuration may be null, not both. */
-    static void start(NodeConfig config, DiameterConfig diameter) {
+    static void start(NodeConfig config, DiameterConfig diameter, Map<String, String> env) {
         Daemon daemon = new Daemon();
         daemon.vertx.exceptionHandler(e -> log("uncaught: " + e));
         daemon.vertx.getOrCreateContext().runOnContext(v -> daemon.run(config, diameter));
+        Signals.on("HUP", () -> daemon.reload(env));
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::terminate, "sigterm"));
     }
 
@@ -52,6 +55,20 @@
         }
     }
 
+    /** SIGHUP: one at a time, in order of arrival. A file that cannot work leaves everything as it was. */
+    private synchronized void reload(Map<String, String> env) {
+        if (!env.containsKey("RELAY_CONFIG")) {
+            log("SIGHUP: there is no RELAY_CONFIG to read anew");
+            return;
+        }
+        try {
+            NodeConfig next = NodeConfig.load(env);
+            vertx.runOnContext(v -> node.reload(next));
+        } catch (BadConfig e) {
+            log("SIGHUP: the old configuration stays: " + e.getMessage());
+        }
+    }
+
     private static void fail(Object address, Throwable e) {
         log("grebewick: cannot listen at " + address + ": " + e.getMessage());
         Runtime.getRuntime().halt(2);
--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -22,7 +22,7 @@
                     String diameter = env.get("RELAY_DIAMETER");
                     // With a Diameter file alone there is no platform, and so no configuration of one.
                     Daemon.start(diameter != null && !env.containsKey("RELAY_CONFIG") ? null : NodeConfig.load(env),
-                        diameter == null ? null : DiameterConfig.load(diameter));
+                        diameter == null ? null : DiameterConfig.load(diameter), env);
                 } catch (BadConfig e) {
                     System.err.println("grebewick: " + e.getMessage());
                     System.exit(2);
--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -28,6 +28,7 @@
     private final Gatekeeper<byte[]> core;
     private final SipFront front;
     private PeerLink peers;
+    private FleetPoller poller;
 
     /** Wires the parts; {@link #start} opens the sockets. */
     public Node(Vertx vertx, NodeConfig config, Clock clock, Timers timers, Consumer<String> log) {
@@ -56,11 +57,21 @@
         }
         tell(Scope.PERSISTED, config.known());
         if (config.names() != null) {
-            new FleetPoller(vertx, timers, config.names(), config.index(), list -> tell(Scope.COMPLETE, list), log).start();
+            poller = new FleetPoller(vertx, timers, config.names(), config.index(), config.known(),
+                list -> tell(Scope.COMPLETE, list), log);
+            poller.start();
         }
         return front.listen(config.listen()).map(server -> server.actualPort());
     }
 
+    /** A new configuration, under load: the name service may have moved. All else holds until a restart. */
+    public void reload(NodeConfig next) {
+        if (poller != null && next.names() != null) {
+            poller.move(next.names());
+        }
+        log.accept("configuration read anew; names " + next.names());
+    }
+
     /** The list of servers as it now is. */
     void tell(Scope scope, List<Endpoint> list) {
         // The lines first: the module may send to a new server within the turn that tells of it.
--- /dev/null
+++ b/src/test/java/grebewick/SignalsTest.java
@@ -0,0 +1,20 @@
+package grebewick;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class SignalsTest {
+    /** Guards against a JVM that ends on SIGHUP, and against one that hears only the first. */
+    @Test
+    void everySignalIsHeardAndTheProcessGoesOn() throws Exception {
+        Semaphore heard = new Semaphore(0);
+        assertThat(Signals.on("HUP", heard::release)).isTrue();
+        for (int i = 0; i < 2; i++) {
+            new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start().waitFor();
+            assertThat(heard.tryAcquire(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+}
--- a/src/test/java/grebewick/names/FleetPollerTest.java
+++ b/src/test/java/grebewick/names/FleetPollerTest.java
@@ -4,6 +4,7 @@
 
 import grebewick.config.Address;
 import grebewick.config.Endpoint;
+import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Stage;
 import grebewick.play.Scenario;
 import io.vertx.core.buffer.Buffer;
@@ -37,22 +38,33 @@
     private int lost;
     private boolean garbage;
     private int asked;
+    private int rcode;
+    private int otherId;
+    private boolean cut;
+    private boolean onlyLists;
+    private FleetPoller poller;
+    private final List<Endpoint> known = new ArrayList<>();
 
     @BeforeEach
     void start() {
+        Address at = server();
+        s.on(() -> {
+            poller = new FleetPoller(s.vertx, s.clock, at, 3, known, told::add, log::add);
+            poller.start();
+            return null;
+        });
+    }
+
+    private Address server() {
         DatagramSocket server = s.on(() -> s.vertx.createDatagramSocket());
         server.handler(packet -> {
             asked++;
-            if (lost-- <= 0) {
+            if (lost-- <= 0 && (!onlyLists || isForList(packet.data().getBytes()))) {
                 server.send(Buffer.buffer(garbage ? new byte[] {1, 2, 3} : answer(packet.data().getBytes())),
                     packet.sender().port(), packet.sender().host());
             }
         });
-        int port = s.await(() -> server.listen(0, "127.0.0.1")).localAddress().port();
-        s.on(() -> {
-            new FleetPoller(s.vertx, s.clock, new Address("127.0.0.1", port), 3, told::add, log::add).start();
-            return null;
-        });
+        return new Address("127.0.0.1", s.await(() -> server.listen(0, "127.0.0.1")).localAddress().port());
     }
 
     @AfterEach
@@ -60,11 +72,23 @@
         s.close();
     }
 
+    private static boolean isForList(byte[] bytes) {
+        try {
+            return new Message(bytes).getQuestion().getType() == Type.SRV;
+        } catch (java.io.IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private byte[] answer(byte[] bytes) {
         try {
             Message question = new Message(bytes);
-            Message m = new Message(question.getHeader().getID());
+            Message m = new Message(question.getHeader().getID() ^ otherId);
             m.getHeader().setFlag(Flags.QR);
+            m.getHeader().setRcode(rcode);
+            if (cut) {
+                m.getHeader().setFlag(Flags.TC);
+            }
             m.addRecord(question.getQuestion(), Section.QUESTION);
             Name host = Name.fromString("s-1.east.hosts.");
             Name zone = Name.fromString("fleet.local.");
@@ -120,4 +144,70 @@
         poll(3);
         s.until(() -> told.size() == 1);
     }
+
+    /** Guards against answers that are no answers: a failure, a cut list, another id, an older list. */
+    @Test
+    void whatIsNoWholeAnswerToAnOpenQuestionChangesNothing() {
+        serial = 9;
+        rcode = 2;
+        poll(2);
+        rcode = 0;
+        cut = true;
+        poll(2);
+        cut = false;
+        otherId = 1;
+        poll(2);
+        s.until(() -> log.stream().anyMatch(line -> line.contains("no open question")));
+        otherId = 0;
+        assertThat(s.on(() -> told.size())).isZero();
+        poll(3);
+        s.until(() -> told.size() == 1);
+        serial = 8;
+        priority = 1;
+        poll(2);
+        serial = 10;
+        poll(3);
+        s.until(() -> told.size() == 2);
+        assertThat(told.get(1).get(0).entry().stage()).isEqualTo(Stage.CORDONED);
+    }
+
+    /** Guards against a drain heeded late, as the other records of a server got lost. */
+    @Test
+    void aDrainIsToldOnceTheListHasIt() {
+        s.on(() -> known.add(new Endpoint(new ServerEntry("s-1", 2, Stage.HEALTHY, 0, "std", "east", 4),
+            new Address("127.1.0.9", 5070))));
+        Address at = server();
+        s.on(() -> {
+            new FleetPoller(s.vertx, s.clock, at, 3, known, told::add, log::add).start();
+            onlyLists = true;
+            serial = 4;
+            priority = 1;
+            return null;
+        });
+        poll(2);
+        s.until(() -> told.size() == 1);
+        assertThat(told.get(0).get(0).entry().stage()).isEqualTo(Stage.CORDONED);
+        assertThat(told.get(0).get(0).entry().placeNo()).isEqualTo(2);
+    }
+
+    /** Guards the numbering over a reload: the new address is asked at once, and the old one falls silent. */
+    @Test
+    void afterAMoveOnlyTheNewAddressIsAskedAndTheNumbersCarryOn() {
+        s.play("wait 200").until(() -> asked == 3);
+        DatagramSocket next = s.on(() -> s.vertx.createDatagramSocket());
+        next.handler(packet -> next.send(Buffer.buffer(answer(packet.data().getBytes())), packet.sender().port(),
+            packet.sender().host()));
+        Address at = new Address("127.0.0.1", s.await(() -> next.listen(0, "127.0.0.1")).localAddress().port());
+        serial = 3;
+        int before = s.on(() -> {
+            poller.move(at);
+            poller.move(at);
+            return asked;
+        });
+        s.play("wait 300");
+        assertThat(s.on(() -> told.size())).as("event 3 is known").isZero();
+        serial = 4;
+        s.play("wait 100").until(() -> told.size() == 1);
+        assertThat(s.on(() -> asked)).as("asked at the old address").isEqualTo(before);
+    }
 }
