Bound, check and time out callers' connections, and close who sends nothing of use

Bodies logged in a probe: 25 connections of one gatekeeper with 200 set-ups under one id withdrawn at once, 37 that repeat an unknown class, dest 99, -3 and nan, deadlines -5 and 'soon'; usual callers have at most 6 set-ups open on a connection, and always answer a BYE. Ruled out: accept speed and log flood (answers take 0.2 ms at the median). Wrong lines: SipCodec's sum that a length near 2^31 makes negative; SipFront.offer, which passed any figure on; SipFront.any, which gave a BYE to the newest connection; invite, which kept silent about a second request under an open id.

--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -44,7 +44,7 @@
                 }
             }, log);
         trunk.attach(core);
-        front = new SipFront(vertx, core, clock, timers, log);
+        front = new SipFront(vertx, config.settings(), config.sockets(), core, clock, timers, log);
         trunk.onStray(front::releaseStray);
         front.onStray(trunk::releaseStray);
     }
--- a/src/main/java/grebewick/config/NodeConfig.java
+++ b/src/main/java/grebewick/config/NodeConfig.java
@@ -17,7 +17,11 @@
 
 /** What a gatekeeper is told at its start, from the RELAY variables and the JSON file that they name. */
 public record NodeConfig(String name, Address listen, long seed, Address peerListen, List<Address> peers,
-                         Address peersAll, Address names, long index, List<Endpoint> known, Settings settings) {
+                         Address peersAll, Address names, long index, List<Endpoint> known, int sockets,
+                         Settings settings) {
+    /** Descriptors where the file sets no limit. */
+    private static final int SOCKETS = 1024;
+
     /** us. Kept on top of the release time: a give-up reaches the server later than a fast new set-up may. */
     private static final long RELEASE_MARGIN_US = 60_000;
 
@@ -50,6 +54,7 @@
                 Address.parse(listen), Long.parseUnsignedLong(f.string("seed", "0"), 16),
                 optional(f, "peer_listen"), peers, optional(f, "peers_all"), optional(f, "names"),
                 news.integer("index", 0), List.copyOf(known.values()),
+                f.has("limits") ? (int) f.object("limits").integer("sockets", SOCKETS) : SOCKETS,
                 margins(Codec.settings(f.object("settings"))));
         } catch (WireException | NumberFormatException e) {
             throw new BadConfig("RELAY_CONFIG: " + e.getMessage());
--- /dev/null
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -0,0 +1,55 @@
+package grebewick.sip;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** One connection from callers: what is open on it, and what it has shown of its sender. */
+final class CallerLine {
+    /** Bytes that may wait for a caller that does not read. */
+    private static final int MOST_UNREAD = 256 * 1024;
+
+    final NetSocket socket;
+    final SipCodec codec = new SipCodec();
+    final long sinceUs;
+    /** Set-ups that wait for their answer. */
+    final Set<Object> open = new LinkedHashSet<>();
+    /** When a whole message last came. */
+    long heardUs;
+    /** When the message that is not whole yet began; 0: there is none. */
+    long halfUs;
+    /** It has sent a request that could be used. */
+    boolean spoke;
+    /** A call of its stood: no stranger's connection. */
+    boolean proven;
+    /** Set-ups in a row that were of no use to anybody. */
+    int useless;
+    boolean closed;
+    private int unread;
+
+    CallerLine(NetSocket socket, long nowUs) {
+        this.socket = socket;
+        sinceUs = nowUs;
+        heardUs = nowUs;
+    }
+
+    void write(SipMessage m) {
+        if (closed) {
+            return;
+        }
+        Buffer bytes = SipCodec.encode(m);
+        unread += bytes.length();
+        if (unread > MOST_UNREAD) {
+            // Guards the memory against callers that ask and never read.
+            close();
+            return;
+        }
+        socket.write(bytes).onComplete(done -> unread -= bytes.length());
+    }
+
+    void close() {
+        closed = true;
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -0,0 +1,83 @@
+package grebewick.sip;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * All connections from callers. Guards the descriptors against those who open connections and say nothing, or ask
+ * once and stay: the servers' connections and the usual callers' need theirs.
+ */
+final class CallerLines {
+    /** us. In which a new connection has to say something whole, and a message that has begun has to end. */
+    static final long WORD_US = 1_800_000;
+    /** us. Usual callers close a connection that is idle for 4 s; one that stays for longer is of no use. */
+    static final long IDLE_US = 6_000_000;
+
+    private final int most;
+    private final Set<CallerLine> all = new LinkedHashSet<>();
+
+    CallerLines(int most) {
+        this.most = most;
+    }
+
+    /** Takes a connection in; at the limit another has to go: strangers first, never one with an open set-up. */
+    void add(CallerLine line) {
+        if (all.size() >= most) {
+            CallerLine victim = eldest(l -> !l.spoke && l.open.isEmpty());
+            victim = victim != null ? victim : eldest(l -> !l.proven && l.open.isEmpty());
+            victim = victim != null ? victim : eldest(l -> l.open.isEmpty());
+            if (victim == null) {
+                line.close();
+                return;
+            }
+            remove(victim);
+            victim.close();
+        }
+        all.add(line);
+    }
+
+    private CallerLine eldest(Predicate<CallerLine> which) {
+        CallerLine found = null;
+        for (CallerLine line : all) {
+            if (which.test(line) && (found == null || line.heardUs < found.heardUs)) {
+                found = line;
+            }
+        }
+        return found;
+    }
+
+    void remove(CallerLine line) {
+        all.remove(line);
+    }
+
+    /** Whether it is still there to be written to. */
+    boolean has(CallerLine line) {
+        return line != null && !line.closed && all.contains(line);
+    }
+
+    /** Where a caller is most likely to be heard: a proven connection before another, then the last one heard. */
+    CallerLine best(CallerLine but) {
+        CallerLine best = null;
+        for (CallerLine line : all) {
+            if (line != but && line.spoke && !line.closed && (best == null || line.proven && !best.proven
+                    || line.proven == best.proven && line.heardUs >= best.heardUs)) {
+                best = line;
+            }
+        }
+        return best;
+    }
+
+    /** Closes what has been silent, half said or idle for too long. */
+    void sweep(long nowUs) {
+        for (CallerLine line : List.copyOf(all)) {
+            boolean silent = !line.spoke && nowUs - line.sinceUs >= WORD_US;
+            boolean half = line.halfUs > 0 && nowUs - line.halfUs >= WORD_US;
+            boolean idle = line.open.isEmpty() && nowUs - line.heardUs >= IDLE_US;
+            if (silent || half || idle) {
+                line.close();
+            }
+        }
+    }
+}
--- a/src/main/java/grebewick/sip/SipCodec.java
+++ b/src/main/java/grebewick/sip/SipCodec.java
@@ -31,8 +31,9 @@
             SipMessage head = head(new String(all, from, end - from, StandardCharsets.UTF_8));
             int length = contentLength(head);
             int bodyAt = end + 4;
-            if (bodyAt - from + length > MOST) {
-                throw new IllegalArgumentException("a message of " + (bodyAt - from + length) + " bytes");
+            // Not as a sum, which the largest length would make negative.
+            if (length > MOST - (bodyAt - from)) {
+                throw new IllegalArgumentException("a message too long");
             }
             if (all.length - bodyAt < length) {
                 break;
@@ -47,6 +48,11 @@
         }
     }
 
+    /** Whether a message has begun and is not whole yet. */
+    boolean half() {
+        return held.length() > 0;
+    }
+
     private static int headEnd(byte[] b, int from) {
         for (int i = from; i + 3 < b.length; i++) {
             if (b[i] == '\r' && b[i + 1] == '\n' && b[i + 2] == '\r' && b[i + 3] == '\n') {
@@ -87,11 +93,16 @@
         if (value == null) {
             throw new IllegalArgumentException("a message without Content-Length");
         }
-        int length = Integer.parseInt(value);
-        if (length < 0) {
-            throw new IllegalArgumentException("a negative Content-Length");
+        for (Header h : m.headers()) {
+            if ((h.name().equalsIgnoreCase("Content-Length") || h.name().equals("l")) && !h.value().equals(value)) {
+                throw new IllegalArgumentException("two lengths");
+            }
+        }
+        if (value.isEmpty() || !value.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            throw new IllegalArgumentException("a Content-Length that is no number");
         }
-        return length;
+        // More digits than that are more than any message may have, if they aren't zeros.
+        return value.length() > 9 ? Integer.MAX_VALUE : Integer.parseInt(value);
     }
 
     static Buffer encode(SipMessage m) {
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -1,5 +1,6 @@
 package grebewick.sip;
 
+import grebewick.core.CallControl.Settings;
 import grebewick.core.Callers;
 import grebewick.core.Clock;
 import grebewick.core.Ending;
@@ -14,12 +15,11 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongPredicate;
 
@@ -31,7 +31,15 @@
     private static final long BYE_US = 5_000_000;
     /** us. How long a BYE waits for a connection from callers. */
     private static final long OWED_US = 60_000_000;
-    private static final long SWEEP_US = 1_000_000;
+    private static final long SWEEP_US = 250_000;
+    /** Part of the descriptors that callers' connections may take: the usual ones take a third at the most. */
+    private static final double CALLERS_PART = 0.6;
+    /** Open set-ups on a connection on which a call has stood, and on any other. */
+    private static final int MOST_OPEN = 128;
+    private static final int MOST_OPEN_UNPROVEN = 16;
+    /** Useless requests in a row after which a connection is closed: bad ones, failed ones, ones just withdrawn. */
+    private static final int MOST_USELESS = 8;
+    private static final int MOST_BYES = 20_000;
 
     private final Vertx vertx;
     private final Gatekeeper<byte[]> core;
@@ -40,13 +48,18 @@
     private final Consumer<String> log;
     private final Map<Long, Session> sessions = new HashMap<>();
     private final Map<Long, Bye> byes = new LinkedHashMap<>();
-    private final Set<NetSocket> connections = new LinkedHashSet<>();
+    private final CallerLines lines;
+    private final OfferReader offers;
     private LongPredicate strays = id -> false;
     private boolean testsPass = true;
     private boolean takesCalls = true;
+    private int bad;
 
-    /** Makes the front of a core. */
-    public SipFront(Vertx vertx, Gatekeeper<byte[]> core, Clock clock, Timers timers, Consumer<String> log) {
+    /** Makes the front of a core; {@code sockets} are the descriptors that the process may have. */
+    public SipFront(Vertx vertx, Settings set, int sockets, Gatekeeper<byte[]> core, Clock clock, Timers timers,
+                    Consumer<String> log) {
+        lines = new CallerLines((int) (sockets * CALLERS_PART));
+        offers = new OfferReader(set);
         this.vertx = vertx;
         this.core = core;
         this.clock = clock;
@@ -82,56 +95,60 @@
     }
 
     private void accept(NetSocket socket) {
-        connections.add(socket);
-        SipCodec codec = new SipCodec();
-        socket.handler(bytes -> read(socket, codec, bytes));
-        socket.exceptionHandler(e -> socket.close());
-        socket.closeHandler(v -> closed(socket));
-        for (Bye bye : List.copyOf(byes.values())) {
-            if (bye.on == null) {
-                send(bye, socket);
-            }
-        }
+        CallerLine line = new CallerLine(socket, clock.nowUs());
+        socket.handler(bytes -> read(line, bytes));
+        socket.exceptionHandler(e -> line.close());
+        socket.closeHandler(v -> closed(line));
+        lines.add(line);
     }
 
-    private void read(NetSocket socket, SipCodec codec, Buffer bytes) {
+    private void read(CallerLine line, Buffer bytes) {
+        if (line.closed) {
+            return;
+        }
         try {
-            codec.read(bytes, message -> take(socket, message));
+            line.codec.read(bytes, message -> {
+                if (!line.closed) {
+                    line.heardUs = clock.nowUs();
+                    take(line, message);
+                }
+            });
+            line.halfUs = !line.codec.half() ? 0 : line.halfUs > 0 && line.halfUs >= line.heardUs ? line.halfUs : clock.nowUs();
         } catch (RuntimeException e) {
-            log.accept("sip: closed a connection that sent " + e.getMessage());
-            socket.close();
+            complain("closed a connection that sent " + e.getMessage());
+            line.close();
         }
     }
 
-    private void closed(NetSocket socket) {
-        connections.remove(socket);
-        for (Session s : List.copyOf(sessions.values())) {
-            if (s.on == socket && !s.answered) {
-                s.answered = true;
-                sessions.remove(s.id, s);
-                core.hangup(s.call);
-            }
+    /** Guards the log against a flood: the first lines, then every hundredth. */
+    private void complain(String text) {
+        if (++bad <= 20 || bad % 100 == 0) {
+            log.accept("sip: " + text + " (" + bad + " so far)");
         }
+    }
+
+    private void closed(CallerLine line) {
+        line.closed = true;
+        lines.remove(line);
+        for (Object each : List.copyOf(line.open)) {
+            Session s = (Session) each;
+            s.answered = true;
+            sessions.remove(s.id, s);
+            core.hangup(s.call);
+        }
+        line.open.clear();
         // Guards against a BYE lost in a connection that its caller was just closing.
         for (Bye bye : List.copyOf(byes.values())) {
-            if (bye.on == socket) {
-                send(bye, any());
+            if (bye.on == line) {
+                send(bye, lines.best(line));
             }
         }
     }
 
-    private NetSocket any() {
-        NetSocket last = null;
-        for (NetSocket socket : connections) {
-            last = socket;
-        }
-        return last;
-    }
-
-    private void take(NetSocket on, SipMessage m) {
+    private void take(CallerLine on, SipMessage m) {
         if (!m.isRequest()) {
             if (m.method().equals("BYE")) {
-                byes.remove(id(m));
+                heard(on, m);
             }
             return;
         }
@@ -139,9 +156,51 @@
             case "INVITE" -> invite(on, m);
             case "CANCEL" -> cancel(on, m);
             case "BYE" -> bye(on, m);
-            case "OPTIONS" -> write(on, testsPass ? m.response(200, "OK") : m.response(503, "Service Unavailable"));
+            case "OPTIONS" -> {
+                spoke(on);
+                on.write(testsPass ? m.response(200, "OK") : m.response(503, "Service Unavailable"));
+            }
             case "ACK", "NOTIFY" -> { }
-            default -> write(on, m.response(501, "Not Implemented"));
+            default -> useless(on, m, 501, "Not Implemented");
+        }
+    }
+
+    /** It has said something of use: what is owed to any caller may go there. */
+    private void spoke(CallerLine on) {
+        if (on.spoke) {
+            return;
+        }
+        on.spoke = true;
+        for (Bye bye : List.copyOf(byes.values())) {
+            if (bye.on == null) {
+                send(bye, on);
+            }
+        }
+    }
+
+    /** Guards against a BYE that went to a stranger: it is not over before a caller has said that it knows the call. */
+    private void heard(CallerLine on, SipMessage m) {
+        Bye bye = byes.get(id(m));
+        if (bye == null || m.status() < 200) {
+            return;
+        }
+        if (m.status() < 300) {
+            byes.remove(id(m));
+        } else if (bye.on == on && ++bye.refused < 3) {
+            send(bye, lines.best(on));
+        }
+    }
+
+    private void useless(CallerLine on, SipMessage m, int status, String phrase) {
+        on.write(m.response(status, phrase));
+        useless(on);
+    }
+
+    /** Who sends nothing of use is closed: at full speed that takes the core, and the servers' time. */
+    private void useless(CallerLine on) {
+        if (++on.useless >= MOST_USELESS && on.open.isEmpty()) {
+            complain("closed a connection that sent nothing of use");
+            on.close();
         }
     }
 
@@ -153,20 +212,28 @@
         return Long.parseUnsignedLong(text, 16);
     }
 
-    private void invite(NetSocket on, SipMessage m) {
+    private void invite(CallerLine on, SipMessage m) {
         long id = id(m);
-        if (sessions.containsKey(id)) {
-            return;
-        }
         Offer<byte[]> offer;
         try {
-            offer = offer(id, m);
-        } catch (RuntimeException e) {
-            write(on, m.response(400, "Bad Request"));
+            offer = offers.read(id, m);
+        } catch (IllegalArgumentException e) {
+            useless(on, m, 400, "Bad Request");
             return;
         }
-        Session session = new Session(id, on, m);
-        if (!takesCalls) {
+        Session known = sessions.get(id);
+        if (known != null) {
+            // A repeat of the same is no second request; another under its id must not take the first one's place.
+            if (known.on != on || !Arrays.equals(known.invite.body(), m.body())) {
+                useless(on, m, 482, "Loop Detected");
+            }
+            return;
+        }
+        spoke(on);
+        Session session = new Session(id, on, m, offer.leftUs());
+        on.open.add(session);
+        // Guards the servers against one connection's flood; a usual caller's connection has a few open.
+        if (!takesCalls || on.open.size() > (on.proven ? MOST_OPEN : MOST_OPEN_UNPROVEN)) {
             session.refused(0, 0);
             return;
         }
@@ -174,60 +241,46 @@
         session.call = core.offer(offer, session);
     }
 
-    private static Offer<byte[]> offer(long id, SipMessage m) {
-        Map<String, Double> attrs = new HashMap<>();
-        for (String part : m.header("X-Attrs", "").split(";")) {
-            int colon = part.indexOf(':');
-            if (colon > 0) {
-                attrs.put(part.substring(0, colon).trim(), Double.valueOf(part.substring(colon + 1).trim()));
-            }
-        }
-        String uri = m.uri();
-        int colon = uri.indexOf(':');
-        int at = uri.indexOf('@');
-        String number = at > colon ? uri.substring(colon + 1, at) : uri.substring(colon + 1);
-        String tier = m.header("X-Tier");
-        if (tier == null) {
-            throw new IllegalArgumentException("no X-Tier");
-        }
-        return new Offer<>(id, tier, number, Long.parseLong(m.header("X-Deadline")) * 1000,
-            m.header("X-Resent", "0").equals("1"), attrs.getOrDefault("again", 0.0) == 1,
-            attrs.getOrDefault("width", 1.0), attrs.getOrDefault("dest", -1.0).intValue(),
-            attrs.getOrDefault("via", -1.0), m.body());
-    }
-
-    private void cancel(NetSocket on, SipMessage m) {
+    private void cancel(CallerLine on, SipMessage m) {
         Session s = sessions.get(id(m));
-        write(on, s == null ? m.response(481, "Call/Transaction Does Not Exist") : m.response(200, "OK"));
-        if (s != null && !s.answered) {
+        // Only where the set-up came from: elsewhere it is a stranger's.
+        boolean known = s != null && s.on == on;
+        on.write(known ? m.response(200, "OK") : m.response(481, "Call/Transaction Does Not Exist"));
+        if (known && !s.answered) {
             s.answer(487, "Request Terminated");
             core.hangup(s.call);
+            if (clock.nowUs() - s.sinceUs < s.waitUs / 2) {
+                useless(on);
+            }
         }
     }
 
-    private void bye(NetSocket on, SipMessage m) {
+    private void bye(CallerLine on, SipMessage m) {
         Session s = sessions.get(id(m));
         boolean known = s == null ? strays.test(id(m)) : s.stands;
-        write(on, known ? m.response(200, "OK") : m.response(481, "Call/Transaction Does Not Exist"));
+        on.write(known ? m.response(200, "OK") : m.response(481, "Call/Transaction Does Not Exist"));
         if (s != null && s.stands) {
+            spoke(on);
             sessions.remove(s.id, s);
             core.releasedByCaller(s.call);
         }
     }
 
-    private void release(long id, String callId, Ending ending, NetSocket on) {
+    private void release(long id, String callId, Ending ending, CallerLine on) {
         Bye bye = new Bye(SipMessage.request("BYE", "sip:peer@net", new Header("Via", "SIP/2.0/TCP gatekeeper"),
             new Header("Call-ID", callId), new Header("CSeq", "1 BYE"),
             new Header("Reason", "Q.850;cause=" + (ending == Ending.CUT ? 41 : 16))), clock.nowUs());
-        byes.put(id, bye);
-        send(bye, connections.contains(on) ? on : any());
+        if (byes.size() < MOST_BYES) {
+            byes.put(id, bye);
+        }
+        send(bye, lines.has(on) ? on : lines.best(null));
     }
 
-    private void send(Bye bye, NetSocket on) {
+    private void send(Bye bye, CallerLine on) {
         bye.on = on;
         if (on != null) {
             bye.sentUs = clock.nowUs();
-            write(on, bye.message);
+            on.write(bye.message);
         }
     }
 
@@ -235,18 +288,14 @@
         timers.after(SWEEP_US, this::sweep);
         long now = clock.nowUs();
         byes.values().removeIf(bye -> now - bye.sentUs > (bye.on != null ? BYE_US : OWED_US));
-    }
-
-    private void write(NetSocket on, SipMessage m) {
-        if (connections.contains(on)) {
-            on.write(SipCodec.encode(m));
-        }
+        lines.sweep(now);
     }
 
     private static final class Bye {
         final SipMessage message;
-        NetSocket on;
+        CallerLine on;
         long sentUs;
+        int refused;
 
         Bye(SipMessage message, long sentUs) {
             this.message = message;
@@ -257,13 +306,17 @@
     /** One call on this side. */
     private final class Session implements Callers<byte[]> {
         final long id;
-        final NetSocket on;
+        final CallerLine on;
         final SipMessage invite;
+        final long sinceUs;
+        final long waitUs;
         long call;
         boolean answered;
         boolean stands;
 
-        Session(long id, NetSocket on, SipMessage invite) {
+        Session(long id, CallerLine on, SipMessage invite, long waitUs) {
+            sinceUs = clock.nowUs();
+            this.waitUs = waitUs;
             this.id = id;
             this.on = on;
             this.invite = invite;
@@ -272,15 +325,19 @@
         /** The one place where an INVITE gets a final answer that is not 200. */
         void answer(int status, String phrase, Header... more) {
             answered = true;
+            on.open.remove(this);
             sessions.remove(id, this);
-            write(on, invite.response(status, phrase, more));
+            on.write(invite.response(status, phrase, more));
         }
 
         @Override
         public void stands(long number, byte[] description) {
             answered = true;
             stands = true;
-            write(on, invite.response(200, "OK", description));
+            on.open.remove(this);
+            on.proven = true;
+            on.useless = 0;
+            on.write(invite.response(200, "OK", description));
         }
 
         @Override
@@ -292,6 +349,9 @@
         @Override
         public void failed(long number) {
             answer(500, "Server Internal Error");
+            if (!on.proven) {
+                useless(on);
+            }
         }
 
         @Override
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -19,9 +19,11 @@
 
 /** The platform's front on sockets: callers c and d, recipe servers s1 (first choice) and s2. */
 class NodeTest {
+    private static final int SOCKETS = 10;
     private final Scenario s = new Scenario();
     private final List<String> log = new ArrayList<>();
     private Node node;
+    private int port;
     private Endpoint one;
     private Endpoint two;
 
@@ -30,8 +32,8 @@
         one = endpoint("s1", s.server("s1", new TrunkDialect()), Stage.HEALTHY, 0);
         two = endpoint("s2", s.server("s2", new TrunkDialect()), Stage.HEALTHY, 1);
         NodeConfig config = new NodeConfig("n0", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
-            List.of(one, two), Sites.settings());
-        int port = s.await(() -> {
+            List.of(one, two), SOCKETS, Sites.settings());
+        port = s.await(() -> {
             node = new Node(s.vertx, config, s.clock, s.clock, log::add);
             return node.start();
         });
@@ -245,4 +247,107 @@
             s1 > release 01 16
             c < BYE 01 16""");
     }
+
+    /** Guards the core against figures that are none, and the servers' connections against what they can't read. */
+    @Test
+    void whatMakesNoSenseIsRefusedAndReachesNoServer() {
+        for (String bad : new String[] {"deadline=0", "deadline=-5", "deadline=soon", "deadline=99999999999999999",
+            "attrs=dest:nan", "attrs=dest:99", "attrs=dest:-3", "attrs=width:Infinity", "attrs=x", "tier=b", "offer=",
+            "offer=" + "x".repeat(15_500)}) {
+            s.play("d > INVITE 01 " + bad + "\n d < 400 INVITE 01\n c > INVITE 02\n s1 < set-up 02*\n s1 > answer 02 desc"
+                + "\n c < 200 INVITE 02 desc\n c > BYE 02\n c < 200 BYE 02\n s1 < release 02 16\n d closes");
+        }
+    }
+
+    /** Guards the core's time against those who send the same useless thing again, or withdraw all they ask. */
+    @Test
+    void whoSendsNothingOfUseIsClosed() {
+        s.play("d > INVITE 01 tier=b\n d < 400 INVITE 01\n".repeat(8) + "d sees the end");
+        s.play("d > INVITE 01\n s1 < set-up 01*\n d > CANCEL 01\n d < 200 CANCEL 01\n d < 487 INVITE 01\n s1 < release 01 16\n"
+            .repeat(8) + "d sees the end");
+    }
+
+    /** Guards the first call's one answer, and its caller against others that use its id. */
+    @Test
+    void anotherRequestUnderAnOpenIdIsRefused() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            d > INVITE 01 offer=other
+            d < 482 INVITE 01
+            d > CANCEL 01
+            d < 481 CANCEL 01
+            c > INVITE 01 offer=other
+            c < 482 INVITE 01
+            c > INVITE 01
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c has no more
+            s1 > release 01 16
+            s1 < released 01
+            c < BYE 01 16""");
+    }
+
+    /** Guards the descriptors: 6 of 10 are the callers', and strangers go before a caller that has asked. */
+    @Test
+    void whoSaysNothingLosesTheConnectionFirst() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            d > OPTIONS 76
+            d < 200 OPTIONS 76""");
+        for (int i = 0; i < 5; i++) {
+            s.client("x" + i, new SipDialect(), port);
+            s.play("x" + i + " connects");
+        }
+        s.play("""
+            x0 sees the end
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            wait 2000
+            x1 sees the end
+            x4 sees the end
+            c > OPTIONS 77
+            c < 200 OPTIONS 77
+            wait 5000
+            d sees the end
+            s1 > release 01 16
+            s1 < released 01
+            c < BYE 01 16""");
+    }
+
+    /** Guards against half a message that is never ended, and against a length that makes the sum negative. */
+    @Test
+    void halfAMessageIsNotWaitedForForEver() {
+        s.play("""
+            d > raw INVITE sip:55@net SIP/2.0|Call-ID: 1|Content-Length: 2147483647||x
+            d sees the end
+            d > OPTIONS 77
+            d < 200 OPTIONS 77
+            d > raw INVITE sip:55@net SIP/2.0|
+            c has no more
+            wait 2500
+            d sees the end""");
+    }
+
+    /** Guards standing calls against being left: a BYE that a stranger took for nothing goes to another. */
+    @Test
+    void aReleaseThatAStrangerRefusesGoesToAnother() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c closes
+            d > OPTIONS 77
+            d < 200 OPTIONS 77
+            s1 > release 01 16
+            s1 < released 01
+            d < BYE 01 16
+            c > OPTIONS 78
+            c < 200 OPTIONS 78
+            d > 481 BYE 01
+            c < BYE 01 16
+            c > 200 BYE 01""");
+    }
 }
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -21,7 +21,7 @@
 
 /**
  * Plays a scenario against a program on loopback sockets. A line is {@code PARTY > MESSAGE} (send),
- * {@code PARTY < MESSAGE} (expect; {@code *} at the end stands for any rest), {@code PARTY closes},
+ * {@code PARTY < MESSAGE} (expect; {@code *} at the end stands for any rest), {@code PARTY connects}, {@code PARTY closes},
  * {@code PARTY sees the end}, {@code PARTY listens}, {@code PARTY stops}, {@code PARTY has no more} or
  * {@code wait MS}. Expectations wait for the message itself; only {@code wait} lets time pass.
  */
@@ -114,6 +114,7 @@
         switch (words[1]) {
             case ">" -> party.send(words[2]);
             case "<" -> party.expect(words[2]);
+            case "connects" -> party.connect();
             case "closes" -> party.close();
             case "sees" -> party.expect("(closed)");
             case "listens" -> party.listen();
@@ -169,15 +170,19 @@
 
         void send(String text) {
             if (server == null && socket == null) {
-                // Kept: a client that nothing refers to is closed with its connections when it is collected.
-                client = vertx.createNetClient(options);
-                await(() -> client.connect(port, "127.0.0.1").onSuccess(this::attach));
+                connect();
             }
             until(() -> socket != null);
             Buffer bytes = dialect.encode(text);
             on(() -> socket.write(bytes));
         }
 
+        void connect() {
+            // Kept: a client that nothing refers to is closed with its connections when it is collected.
+            client = vertx.createNetClient(options);
+            await(() -> client.connect(port, "127.0.0.1").onSuccess(this::attach));
+        }
+
         void close() {
             await(() -> socket.close());
             expect("(closed)");
--- a/src/test/java/grebewick/sip/SipDialect.java
+++ b/src/test/java/grebewick/sip/SipDialect.java
@@ -28,8 +28,8 @@
         if (method.equals("INVITE")) {
             headers.add(new Header("X-Tier", o.getOrDefault("tier", "a")));
             headers.add(new Header("X-Deadline", o.getOrDefault("deadline", "4000")));
-            headers.add(new Header("X-Attrs", "dest:" + o.getOrDefault("dest", "0") + ";width:1;via:-1"));
-            body = ("offer-" + w[1]).getBytes(StandardCharsets.UTF_8);
+            headers.add(new Header("X-Attrs", o.getOrDefault("attrs", "dest:0;width:1;via:-1")));
+            body = o.getOrDefault("offer", "offer-" + w[1]).getBytes(StandardCharsets.UTF_8);
         }
         return SipCodec.encode(new SipMessage(method, "sip:55@net", answer ? Integer.parseInt(w[0]) : 0, "OK", headers, body));
     }
