Keep several connections to each recipe server and close what stops short

Line.read renewed heardUs for any bytes, so no new connection was tried, and set-ups timed out there (the module barred the server 20 times). Ruled out: BYEs that got lost on the callers' side (926 of 926 were answered with 200), and descriptors (281 of 384). Wrong lines: TrunkCodec.decode took any type, an answer without a description and a release without a cause; Line had no end for half a message and one connection for all calls, so each spoilt answer ended up to three other set-ups; Trunk.answer took an answer from any connection.

--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -33,7 +33,7 @@
     private static final long OWED_US = 60_000_000;
     private static final long SWEEP_US = 250_000;
     /** Part of the descriptors that callers' connections may take: the usual ones take a third at the most. */
-    private static final double CALLERS_PART = 0.6;
+    private static final double CALLERS_PART = 0.5;
     /** Open set-ups on a connection on which a call has stood, and on any other. */
     private static final int MOST_OPEN = 128;
     private static final int MOST_OPEN_UNPROVEN = 16;
--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -8,30 +8,43 @@
 import io.vertx.core.net.NetSocket;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 
-/** The connection to one recipe server: opened as soon as the server is listed, and again when it is lost. */
+/**
+ * A few connections to one recipe server, opened as soon as it is listed and again when one is lost. Set-ups are
+ * spread over them: an answer that cannot be read, and a reset, take along whatever else is open on their connection.
+ */
 final class Line {
+    /** Connections kept up, and the most while set-ups wait on all of them. */
+    private static final int SPARE = 2;
+    private static final int MOST = 6;
     /** us. Between tries to connect. */
     private static final long RETRY_US = 300_000;
-    /** us. For what is open on a connection that another took the place of. */
+    /** Connections lost in a row without a word: the next ones are not tried at once. */
+    private static final int MOST_MUTE = 4;
+    /** us. For what is open on a connection that takes nothing new. */
     private static final long OLD_US = 5_000_000;
     /** us. After which a server that is gone from the list has nothing more to say. */
     private static final long GONE_US = 10_000_000;
+    /** us. A message that has begun is whole by then, or never will be. */
+    private static final long HALF_US = 300_000;
+    /** us. After which a connection more than the spare ones, without a call, is closed. */
+    private static final long UNUSED_US = 3_000_000;
     /** Bytes not yet taken by the network above which a connection counts as stuck. */
     private static final int BACKLOG = 1 << 20;
+    private static final int MOST_OWED = 10_000;
 
     /** What a line tells its owner. */
     interface Owner {
-        void message(Line line, NetSocket on, TrunkMessage message);
+        void message(Line line, Link on, TrunkMessage message);
 
         /** Whatever was open on that connection is given up. */
-        void lost(Line line, NetSocket connection);
+        void lost(Line line, Link link);
 
-        /** No connection came up; {@code refused}: the machine is there, but nothing listens. */
-        void unreachable(Line line, boolean refused);
+        /** No connection came up; {@code dead}: nothing listens, and no connection is left: the process is gone. */
+        void unreachable(Line line, boolean dead);
 
         void up(Line line);
     }
@@ -44,13 +57,12 @@
     private final Owner owner;
     private final Consumer<String> log;
     private final ArrayDeque<TrunkMessage> owed = new ArrayDeque<>();
-    private final Set<NetSocket> open = new HashSet<>();
+    private final List<Link> links = new ArrayList<>();
     private Address address;
-    private NetSocket current;
     private boolean connecting;
     private boolean listed = true;
-    private long heardUs;
-    private int stuck;
+    private long notBeforeUs = Long.MIN_VALUE;
+    private int mute;
 
     Line(String id, Address address, long launchedUs, NetClient client, Clock clock, Timers timers, Owner owner,
          Consumer<String> log) {
@@ -64,34 +76,56 @@
         this.log = log;
     }
 
-    /** The connection that new work goes to, or null. */
-    NetSocket current() {
-        return current;
+    /** The connection for a new set-up: the least loaded, of these the one used last. Null: none is up. */
+    Link pick() {
+        Link best = null;
+        for (Link link : links) {
+            if (!link.retired && (best == null || link.open() < best.open()
+                    || link.open() == best.open() && link.usedUs > best.usedUs)) {
+                best = link;
+            }
+        }
+        if (best == null || best.open() > 0 && usable() < MOST) {
+            connect();
+        }
+        return best;
     }
 
-    boolean connecting() {
-        return connecting;
+    private int usable() {
+        int n = 0;
+        for (Link link : links) {
+            n += link.retired ? 0 : 1;
+        }
+        return n;
     }
 
-    /** When anything was last heard. */
-    long heardUs() {
-        return heardUs;
+    boolean isUp() {
+        return usable() > 0;
     }
 
-    /** It may have moved or started anew: a connection from before may be dead without a word. */
+    /** It may have moved or started anew: connections from before may be dead without a word. */
     void update(Address now, long launched) {
-        boolean moved = !now.equals(address);
-        boolean anew = launched > launchedUs;
+        boolean anew = !now.equals(address) || launched > launchedUs;
         address = now;
         launchedUs = Math.max(launched, launchedUs);
-        if (moved || anew) {
+        if (anew) {
+            List.copyOf(links).forEach(this::retire);
             connect();
         }
     }
 
-    /** Opens a connection in place of the present one, which goes on until it ends or no new one comes up. */
+    /** Nothing new goes out there; it is closed once nothing is open on it, or after a while. */
+    void retire(Link link) {
+        if (!link.retired) {
+            link.retired = true;
+            timers.after(OLD_US, link.socket::close);
+            connect();
+        }
+    }
+
+    /** Opens one more connection, if it may be tried now. */
     void connect() {
-        if (connecting || !listed) {
+        if (connecting || !listed || usable() >= MOST || clock.nowUs() < notBeforeUs) {
             return;
         }
         connecting = true;
@@ -106,98 +140,135 @@
     }
 
     private void begin(NetSocket socket) {
-        NetSocket before = current;
-        current = socket;
-        open.add(socket);
-        heardUs = clock.nowUs();
-        TrunkCodec codec = new TrunkCodec();
-        socket.handler(bytes -> read(socket, codec, bytes));
+        Link link = new Link(socket, clock.nowUs());
+        links.add(link);
+        socket.handler(bytes -> read(link, bytes));
         socket.exceptionHandler(e -> socket.close());
-        socket.closeHandler(v -> closed(socket));
+        socket.closeHandler(v -> closed(link));
         for (TrunkMessage m = owed.poll(); m != null; m = owed.poll()) {
-            write(socket, m);
+            write(link, m);
         }
         owner.up(this);
         if (!listed) {
             socket.close();
-        }
-        if (before != null) {
-            // What is open there may still end by itself; afterwards it is of no use.
-            timers.after(OLD_US, before::close);
+        } else if (usable() < SPARE) {
+            connect();
         }
     }
 
-    private void read(NetSocket socket, TrunkCodec codec, Buffer bytes) {
-        heardUs = clock.nowUs();
+    private void read(Link link, Buffer bytes) {
+        if (!links.contains(link)) {
+            return;
+        }
+        long now = clock.nowUs();
         try {
-            codec.read(bytes, message -> owner.message(this, socket, message));
+            link.codec.read(bytes, message -> {
+                link.heardUs = now;
+                link.heard = true;
+                link.halfUs = 0;
+                owner.message(this, link, message);
+            });
+            link.halfUs = !link.codec.half() ? 0 : link.halfUs > 0 ? link.halfUs : now;
         } catch (RuntimeException e) {
             log.accept("trunk " + id + ": closed, as it sent " + e.getMessage());
-            socket.close();
+            drop(link);
         }
     }
 
-    private void closed(NetSocket socket) {
-        open.remove(socket);
-        if (current == socket) {
-            current = null;
+    /** Of no further use: whatever is open on it is lost, now and not when the other side has closed too. */
+    private void drop(Link link) {
+        closed(link);
+        link.socket.close();
+    }
+
+    private void closed(Link link) {
+        if (!links.remove(link)) {
+            return;
         }
-        owner.lost(this, socket);
-        if (current == null) {
+        owner.lost(this, link);
+        mute = link.heard ? 0 : mute + 1;
+        if (mute >= MOST_MUTE) {
+            // Guards against a server that takes connections and resets each.
+            notBeforeUs = clock.nowUs() + RETRY_US;
+            timers.after(RETRY_US, this::refill);
+        } else if (links.isEmpty()) {
+            // Whether the process is gone is to be known at once.
+            notBeforeUs = Long.MIN_VALUE;
+        }
+        refill();
+    }
+
+    private void refill() {
+        if (usable() < SPARE) {
             connect();
         }
     }
 
     private void failed(Throwable cause) {
         boolean refused = cause instanceof ConnectException && String.valueOf(cause.getMessage()).contains("refused");
-        if (current != null) {
-            // Guards against a machine that vanished: its connection stays open and silent for ever.
-            current.close();
-        }
-        owner.unreachable(this, refused);
-        timers.after(RETRY_US, () -> {
-            if (current == null) {
-                connect();
+        if (!refused) {
+            // Guards against a machine that vanished: its connections stay open and silent for ever.
+            long doubtUs = clock.nowUs() - RETRY_US;
+            for (Link link : List.copyOf(links)) {
+                if (link.heardUs < doubtUs) {
+                    drop(link);
+                }
             }
-        });
+        }
+        // With a connection left the process runs, and only takes no more of them.
+        owner.unreachable(this, refused && links.isEmpty());
+        notBeforeUs = clock.nowUs() + RETRY_US;
+        timers.after(RETRY_US, this::refill);
     }
 
-    boolean isOpen(NetSocket socket) {
-        return open.contains(socket);
+    boolean isOpen(Link link) {
+        return links.contains(link);
     }
 
-    /** Sends on the connection given, or else on the next one to come up. */
-    void send(NetSocket on, TrunkMessage message) {
-        NetSocket socket = on != null && open.contains(on) ? on : current;
-        if (socket != null) {
-            write(socket, message);
-        } else if (listed && owed.size() < 10_000) {
+    /** Sends on the connection given, or else on another, or on the next one to come up. */
+    void send(Link on, TrunkMessage message) {
+        Link link = on != null && links.contains(on) ? on : null;
+        for (Link other : links) {
+            link = link == null && !other.retired ? other : link;
+        }
+        if (link != null) {
+            write(link, message);
+        } else if (listed && owed.size() < MOST_OWED) {
             owed.add(message);
         }
     }
 
-    private void write(NetSocket socket, TrunkMessage message) {
-        if (socket.writeQueueFull() && ++stuck > BACKLOG / TrunkCodec.MOST) {
+    private void write(Link link, TrunkMessage message) {
+        if (link.socket.writeQueueFull() && ++link.stuck > BACKLOG / TrunkCodec.MOST) {
             log.accept("trunk " + id + ": closed, as it takes nothing any more");
-            stuck = 0;
-            socket.close();
+            drop(link);
             return;
         }
-        stuck = socket.writeQueueFull() ? stuck : 0;
-        socket.write(TrunkCodec.encode(message));
+        link.stuck = link.socket.writeQueueFull() ? link.stuck : 0;
+        link.socket.write(TrunkCodec.encode(message));
     }
 
-    void closeIdle() {
-        if (current != null) {
-            current.close();
+    /** Closes what stopped in the middle of a message, and what is not needed. */
+    void sweep(long nowUs) {
+        for (Link link : List.copyOf(links)) {
+            if (link.halfUs > 0 && nowUs - link.halfUs >= HALF_US) {
+                log.accept("trunk " + id + ": closed, as it stopped in the middle of a message");
+                drop(link);
+            } else if (link.retired && link.open() == 0
+                    || link.legs.isEmpty() && usable() > SPARE && nowUs - link.usedUs >= UNUSED_US) {
+                drop(link);
+            }
         }
     }
 
+    void closeIdle() {
+        List.copyOf(links).forEach(this::drop);
+    }
+
     /** It is gone from the list: no new connection; one that stays open in silence is closed. */
     void gone() {
         listed = false;
         owed.clear();
-        timers.after(GONE_US, () -> Set.copyOf(open).forEach(NetSocket::close));
+        timers.after(GONE_US, () -> List.copyOf(links).forEach(this::drop));
     }
-
 }
--- /dev/null
+++ b/src/main/java/grebewick/trunk/Link.java
@@ -0,0 +1,38 @@
+package grebewick.trunk;
+
+import io.vertx.core.net.NetSocket;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** One connection to a recipe server, and the calls that were set up on it. */
+final class Link {
+    final NetSocket socket;
+    final TrunkCodec codec = new TrunkCodec();
+    /** Calls whose set-up went out here: waiting for their answer, and standing. */
+    final Set<Trunk.Leg> legs = new LinkedHashSet<>();
+    /** When a whole message last came, or it came up. */
+    long heardUs;
+    boolean heard;
+    /** When the message that is not whole yet began; 0: there is none. */
+    long halfUs;
+    /** No new set-ups: what is open here may still end. */
+    boolean retired;
+    /** When it was last given a set-up. */
+    long usedUs;
+    int stuck;
+
+    Link(NetSocket socket, long nowUs) {
+        this.socket = socket;
+        heardUs = nowUs;
+        usedUs = nowUs;
+    }
+
+    /** Set-ups that wait for their answer here. */
+    int open() {
+        int n = 0;
+        for (Trunk.Leg leg : legs) {
+            n += leg.stands ? 0 : 1;
+        }
+        return n;
+    }
+}
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -14,7 +14,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
-import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -29,7 +28,9 @@
 public final class Trunk implements Servers<byte[]>, Line.Owner {
     /** us. Silence after a set-up that casts doubt on a connection. */
     private static final long DOUBT_US = 500_000;
-    private static final int MOST_OWN = 20_000;
+    private static final int MOST_OWN = 4_000;
+    /** us. How often stopped and unneeded connections are looked for. */
+    private static final long SWEEP_US = 100_000;
 
     private final Clock clock;
     private final Timers timers;
@@ -63,6 +64,12 @@
         probeUs = Math.max(1000, set.bounds().connectTimeoutUs()) * 2;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, set.bounds().connectTimeoutUs() / 1000)));
+        timers.after(SWEEP_US, this::sweep);
+    }
+
+    private void sweep() {
+        timers.after(SWEEP_US, this::sweep);
+        lines.values().forEach(line -> line.sweep(clock.nowUs()));
     }
 
     /** Who is told of the ends of calls that stood before this process started: they belong to no process. */
@@ -130,17 +137,20 @@
         byCall.put(call, leg);
         byId.put(offer.id(), leg);
         own.put(offer.id(), true);
-        if (line.current() != null) {
-            leave(leg);
-        } else {
-            line.connect();
-        }
+        leave(leg);
     }
 
+    /** Sends the set-up, or leaves it to wait for a connection. */
     private void leave(Leg leg) {
-        leg.on = leg.line.current();
+        Link link = leg.line.pick();
+        if (link == null) {
+            return;
+        }
+        leg.on = link;
         leg.sentUs = clock.nowUs();
-        leg.line.send(leg.on, leg.message);
+        link.usedUs = leg.sentUs;
+        link.legs.add(leg);
+        leg.line.send(link, leg.message);
     }
 
     @Override
@@ -154,9 +164,10 @@
             return;
         }
         leg.line.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
-        if (leg.on == leg.line.current() && leg.line.heardUs() < leg.sentUs && clock.nowUs() - leg.sentUs > DOUBT_US) {
-            // Guards against a silent, vanished server: only a new connection tells it from a slow one.
-            leg.line.connect();
+        if (leg.on.heardUs < leg.sentUs && clock.nowUs() - leg.sentUs > DOUBT_US) {
+            // Guards against a silent, vanished server: only a new connection tells it from a slow one. And against
+            // one whose answer got lost: what else it is to send there may be lost too.
+            leg.line.retire(leg.on);
         }
     }
 
@@ -172,7 +183,7 @@
     @Override
     public void probe(String server) {
         Line line = lines.get(server);
-        if (line == null || line.current() == null) {
+        if (line == null || !line.isUp()) {
             core.checked(server, State.CONNECT_ERROR, 0, List.of());
             return;
         }
@@ -182,7 +193,7 @@
                 core.checked(server, State.TIMED_OUT, probeUs, List.of());
             }
         })));
-        line.send(line.current(), of(TEST, id, 1));
+        line.send(null, of(TEST, id, 1));
     }
 
     @Override
@@ -197,27 +208,31 @@
 
     @Override
     public void up(Line line) {
-        legs(line).stream().filter(leg -> leg.on == null).forEach(this::leave);
+        for (Leg leg : legs(line)) {
+            if (leg.on == null) {
+                leave(leg);
+            }
+        }
     }
 
     @Override
-    public void unreachable(Line line, boolean refused) {
+    public void unreachable(Line line, boolean dead) {
         for (Leg leg : legs(line)) {
-            if (leg.on == null) {
+            if (leg.on == null && !line.isUp()) {
                 forget(leg);
                 core.ended(leg.call, leg.copy, State.CONNECT_ERROR, 0, List.of());
             }
         }
-        if (refused) {
+        if (dead) {
             legs(line).stream().filter(leg -> leg.stands).forEach(this::forget);
             core.died(line.id);
         }
     }
 
     @Override
-    public void lost(Line line, NetSocket connection) {
-        for (Leg leg : legs(line)) {
-            if (leg.on == connection && !leg.stands) {
+    public void lost(Line line, Link link) {
+        for (Leg leg : List.copyOf(link.legs)) {
+            if (!leg.stands) {
                 forget(leg);
                 core.ended(leg.call, leg.copy, State.RESET_BY_PEER, 0, List.of());
             }
@@ -225,7 +240,7 @@
     }
 
     @Override
-    public void message(Line line, NetSocket on, TrunkMessage m) {
+    public void message(Line line, Link on, TrunkMessage m) {
         switch (m.type()) {
             case ANSWER -> answer(line, on, m);
             case RELEASE -> {
@@ -246,9 +261,11 @@
         }
     }
 
-    private void answer(Line line, NetSocket on, TrunkMessage m) {
+    private void answer(Line line, Link on, TrunkMessage m) {
         Leg leg = byId.get(m.call());
-        if (leg != null && leg.line == line && leg.stands) {
+        if (leg != null && leg.line == line && (leg.stands || leg.on != null && leg.on != on)) {
+            // A second copy, or the late answer to an earlier attempt, which is released already: to release it
+            // again would end the present one, as they share the call's id.
             return;
         }
         if (leg != null && leg.line == line && leg.on != null) {
@@ -311,15 +328,19 @@
     private void forget(Leg leg) {
         byCall.remove(leg.call, leg);
         byId.remove(leg.offer.id(), leg);
+        if (leg.on != null) {
+            leg.on.legs.remove(leg);
+        }
     }
 
-    private static final class Leg {
+    /** One call at one server. */
+    static final class Leg {
         final long call;
         final int copy;
         final Line line;
         final Offer<byte[]> offer;
         final TrunkMessage message;
-        NetSocket on;
+        Link on;
         long sentUs;
         boolean stands;
 
--- a/src/main/java/grebewick/trunk/TrunkCodec.java
+++ b/src/main/java/grebewick/trunk/TrunkCodec.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** Cuts a connection's bytes into messages, and writes messages. One instance a connection. */
@@ -16,6 +17,9 @@
     private static final int CAUSE = 208;
     private static final int DESCRIPTION = 210;
 
+    private static final Set<Integer> TYPES = Set.of(TrunkMessage.SET_UP, TrunkMessage.PROGRESS, TrunkMessage.ANSWER,
+        TrunkMessage.RELEASE, TrunkMessage.RELEASED, TrunkMessage.GROUP_STATE, TrunkMessage.TEST, TrunkMessage.TESTED);
+
     private Buffer held = Buffer.buffer();
 
     /** Takes what was read and hands out every whole message; throws where the bytes are none of the protocol's. */
@@ -37,8 +41,17 @@
         held = from == all.length() ? Buffer.buffer() : all.getBuffer(from, all.length());
     }
 
+    /** Whether a message has begun and is not whole yet. */
+    boolean half() {
+        return held.length() > 0;
+    }
+
     private static TrunkMessage decode(Buffer b, int from, int end) {
         int type = b.getUnsignedByte(from);
+        if (!TYPES.contains(type)) {
+            // Guards against noise that by chance has a length: what follows it is noise too.
+            throw new IllegalArgumentException("type " + type);
+        }
         long call = b.getLong(from + 1);
         String tier = "";
         String number = "";
@@ -70,6 +83,9 @@
                 default -> { }
             }
         }
+        if (type == TrunkMessage.ANSWER && description.length == 0 || type == TrunkMessage.RELEASE && cause < 0) {
+            throw new IllegalArgumentException("type " + type + " without what belongs to it");
+        }
         return new TrunkMessage(type, call, tier, number, waitMs, note, report, cause, description);
     }
 
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -19,7 +19,7 @@
 
 /** The platform's front on sockets: callers c and d, recipe servers s1 (first choice) and s2. */
 class NodeTest {
-    private static final int SOCKETS = 10;
+    private static final int SOCKETS = 12;
     private final Scenario s = new Scenario();
     private final List<String> log = new ArrayList<>();
     private Node node;
@@ -288,7 +288,7 @@
             c < BYE 01 16""");
     }
 
-    /** Guards the descriptors: 6 of 10 are the callers', and strangers go before a caller that has asked. */
+    /** Guards the descriptors: 6 of 12 are the callers', and strangers go before a caller that has asked. */
     @Test
     void whoSaysNothingLosesTheConnectionFirst() {
         s.play("""
@@ -350,4 +350,60 @@
             c < BYE 01 16
             c > 200 BYE 01""");
     }
+
+    /** Guards the other set-ups against an answer that cannot be read: it takes its own connection along, no other. */
+    @Test
+    void aSpoiltAnswerEndsNoOtherSetUp() {
+        s.play("""
+            s1 > state 00 qps:100
+            s1 has no more
+            c > INVITE 01
+            s1 < set-up 01*
+            c > INVITE 02
+            s1 < set-up 02*
+            s1 > raw \0\11\173spoilt...
+            s1 sees the end
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            wait 559
+            s2 < set-up 02*
+            s2 > answer 02 desc
+            c < 200 INVITE 02 desc
+            c > BYE 01
+            c < 200 BYE 01
+            s1 < release 01 16
+            c > BYE 02
+            c < 200 BYE 02
+            s2 < release 02 16""");
+    }
+
+    /** Guards all that is to come on a connection against an answer that never ends. */
+    @Test
+    void anAnswerThatStopsInTheMiddleIsNotWaitedFor() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > raw \0
+            s1 > raw \120
+            c has no more""").play("wait 100\n wait 400\n s1 sees the end\n wait 501\n s2 < set-up 01*"
+            + "\n s2 > answer 01 desc\n c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01\n s2 < release 01 16");
+    }
+
+    /** Guards a call against what is not its answer: a second copy, and an answer under an id that nobody knows. */
+    @Test
+    void whatBelongsToNoAttemptHarmsNothing() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > answer 77 desc
+            s1 < release 77 16
+            s1 > answer 01 desc
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            s1 has no more
+            c has no more
+            s1 > release 01 16
+            s1 < released 01
+            c < BYE 01 16""");
+    }
 }
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -12,7 +12,9 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -140,6 +142,7 @@
         int port;
         NetServer server;
         NetClient client;
+        final Set<NetSocket> open = new LinkedHashSet<>();
         volatile NetSocket socket;
 
         Party(String name, Dialect dialect) {
@@ -155,16 +158,24 @@
         void stop() {
             // Takes the connections along.
             await(() -> server.close());
-            expect("(closed)");
+            until(open::isEmpty);
+            heard.removeIf("(closed)"::equals);
         }
 
+        /** A program may hold several connections: a party speaks on the one that it heard last. */
         void attach(NetSocket s) {
-            socket = s;
-            s.handler(dialect.reader(heard::add)::accept);
+            open.add(s);
+            socket = socket == null ? s : socket;
+            s.handler(dialect.reader(message -> {
+                socket = s;
+                heard.add(message);
+            })::accept);
             s.closeHandler(v -> {
-                // By then the program may have connected anew.
-                socket = socket == s ? null : socket;
-                heard.add("(closed)");
+                open.remove(s);
+                if (socket == s) {
+                    socket = open.isEmpty() ? null : open.iterator().next();
+                    heard.add("(closed)");
+                }
             });
         }
 
--- a/src/test/java/grebewick/trunk/TrunkCodecTest.java
+++ b/src/test/java/grebewick/trunk/TrunkCodecTest.java
@@ -30,6 +30,9 @@
     @Test
     void whatIsNotTheProtocolsIsRefused() {
         for (Buffer bad : List.of(Buffer.buffer(new byte[] {0, 3, 1, 1, 1}), Buffer.buffer(new byte[] {0x7f, 0, 1}),
+            Buffer.buffer(new byte[] {0, 9, 123, 0, 0, 0, 0, 0, 0, 0, 1}),
+            Buffer.buffer(new byte[] {0, 9, TrunkMessage.ANSWER, 0, 0, 0, 0, 0, 0, 0, 1}),
+            Buffer.buffer(new byte[] {0, 9, TrunkMessage.RELEASE, 0, 0, 0, 0, 0, 0, 0, 1}),
             Buffer.buffer(new byte[] {0, 12, 9, 0, 0, 0, 0, 0, 0, 0, 1, (byte) 210, 0, 9}))) {
             assertThatThrownBy(() -> new TrunkCodec().read(bad, got::add)).isInstanceOf(IllegalArgumentException.class);
         }
