Bound the connections accepted before the event loop sees them

A trace showed 140 connections accepted before the first was closed; a probe (600 connections, 50 kept) showed 600 accepted first: Vert.x's acceptor has a thread of its own and runs ahead. A second cause: connections that had only sent OPTIONS counted as callers' and those of usual callers, asking again, were closed in their place. Now eldest test-only and silent ones go first, then callers that have been at rest for 0.5 s. Ruled out: an early end of the process (the loss is at a node that runs), and closes for useless requests (none in the log).

--- /dev/null
+++ b/src/main/java/grebewick/BoundedAccept.java
@@ -0,0 +1,69 @@
+package grebewick;
+
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.vertx.core.impl.transports.NioTransport;
+import io.vertx.core.transport.Transport;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Vert.x's transport, with a bound on the connections that its servers have accepted and that are not closed yet.
+ * Guards the descriptors: Vert.x accepts on a thread of its own, hundreds before the event loop has seen the first,
+ * and a process without a descriptor left accepts nothing for a second. What is not accepted waits in the backlog.
+ */
+final class BoundedAccept extends NioTransport implements Transport {
+    private static final long PAUSE_MS = 5;
+
+    private final int most;
+    private final AtomicInteger open = new AtomicInteger();
+
+    BoundedAccept(int most) {
+        this.most = most;
+    }
+
+    @Override
+    public String name() {
+        return "nio, bounded";
+    }
+
+    @Override
+    public boolean available() {
+        return true;
+    }
+
+    @Override
+    public Throwable unavailabilityCause() {
+        return null;
+    }
+
+    @Override
+    public io.vertx.core.spi.transport.Transport implementation() {
+        return this;
+    }
+
+    @Override
+    public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
+        return domainSocket ? super.serverChannelFactory(true) : Server::new;
+    }
+
+    private final class Server extends NioServerSocketChannel {
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            if (open.get() >= most) {
+                config().setAutoRead(false);
+                eventLoop().schedule(() -> config().setAutoRead(true), PAUSE_MS, TimeUnit.MILLISECONDS);
+                return 0;
+            }
+            int n = super.doReadMessages(accepted);
+            if (n > 0) {
+                open.incrementAndGet();
+                ((SocketChannel) accepted.get(accepted.size() - 1)).closeFuture().addListener(done -> open.decrementAndGet());
+            }
+            return n;
+        }
+    }
+}
--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -6,6 +6,7 @@
 import grebewick.core.Timers;
 import grebewick.diameter.DiameterConfig;
 import grebewick.diameter.DiameterNode;
+import grebewick.sip.SipFront;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -19,17 +20,26 @@
     private static final long STILL_COMING_MS = 700;
     private static final long CHECK_MS = 20;
 
-    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-        .setInternalBlockingPoolSize(1)
-        // The file system is read-only.
-        .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+    /** Connections that may be accepted and not yet looked at, beside those that the front holds. */
+    private static final int UNSEEN = 32;
+
+    private final Vertx vertx;
     private final CountDownLatch ended = new CountDownLatch(1);
     private Node node;
     private DiameterNode diameter;
 
+    private Daemon(int mostAccepted) {
+        vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+            .setInternalBlockingPoolSize(1)
+            // The file system is read-only.
+            .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
+            .withTransport(new BoundedAccept(mostAccepted)).build();
+    }
+
     /** Either configuration may be null, not both. */
     static void start(NodeConfig config, DiameterConfig diameter, Map<String, String> env) {
-        Daemon daemon = new Daemon();
+        int sockets = config == null ? NodeConfig.SOCKETS : config.sockets();
+        Daemon daemon = new Daemon(SipFront.mostLines(sockets) + UNSEEN);
         daemon.vertx.exceptionHandler(e -> log("uncaught: " + e));
         daemon.vertx.getOrCreateContext().runOnContext(v -> daemon.run(config, diameter));
         Signals.on("HUP", () -> daemon.reload(env));
--- a/src/main/java/grebewick/config/NodeConfig.java
+++ b/src/main/java/grebewick/config/NodeConfig.java
@@ -20,7 +20,7 @@
                          Address peersAll, Address names, long index, List<Endpoint> known, int sockets,
                          Settings settings) {
     /** Descriptors where the file sets no limit. */
-    private static final int SOCKETS = 1024;
+    public static final int SOCKETS = 1024;
 
     /** us. Kept on top of the release time: a give-up reaches the server later than a fast new set-up may. */
     private static final long RELEASE_MARGIN_US = 60_000;
--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -10,6 +10,9 @@
     /** Bytes that may wait for a caller that does not read. */
     private static final int MOST_UNREAD = 256 * 1024;
 
+    /** us. Without a word, after which a caller that has asked is taken not to be asking. */
+    private static final long REST_US = 500_000;
+
     final NetSocket socket;
     final SipCodec codec = new SipCodec();
     final long sinceUs;
@@ -19,8 +22,10 @@
     long heardUs;
     /** When the message that is not whole yet began; 0: there is none. */
     long halfUs;
-    /** It has sent a request that could be used. */
+    /** It has sent a request that could be used, be it a test. */
     boolean spoke;
+    /** It has sent a set-up that could be used. */
+    boolean asked;
     /** A call of its stood: no stranger's connection. */
     boolean proven;
     /** Set-ups in a row that were of no use to anybody. */
@@ -34,6 +39,10 @@
         heardUs = nowUs;
     }
 
+    boolean rests(long nowUs) {
+        return open.isEmpty() && halfUs == 0 && nowUs - heardUs >= REST_US;
+    }
+
     void write(SipMessage m) {
         if (closed) {
             return;
--- a/src/main/java/grebewick/sip/CallerLines.java
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -25,9 +25,11 @@
     /** Takes a connection in; at the limit another has to go: strangers first, never one with an open set-up. */
     void add(CallerLine line) {
         if (all.size() >= most) {
-            CallerLine victim = eldest(l -> !l.spoke && l.open.isEmpty());
-            victim = victim != null ? victim : eldest(l -> !l.proven && l.open.isEmpty());
-            victim = victim != null ? victim : eldest(l -> l.open.isEmpty());
+            long nowUs = line.sinceUs;
+            CallerLine victim = eldest(l -> !l.asked && l.open.isEmpty());
+            // Not one that may just be asking again: what it has sent may not be read yet.
+            victim = victim != null ? victim : eldest(l -> !l.proven && l.rests(nowUs));
+            victim = victim != null ? victim : eldest(l -> l.rests(nowUs));
             if (victim == null) {
                 line.close();
                 return;
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -58,7 +58,7 @@
     /** Makes the front of a core; {@code sockets} are the descriptors that the process may have. */
     public SipFront(Vertx vertx, Settings set, int sockets, Gatekeeper<byte[]> core, Clock clock, Timers timers,
                     Consumer<String> log) {
-        lines = new CallerLines((int) (sockets * CALLERS_PART));
+        lines = new CallerLines(mostLines(sockets));
         offers = new OfferReader(set);
         this.vertx = vertx;
         this.core = core;
@@ -67,6 +67,11 @@
         this.log = log;
     }
 
+    /** How many connections from callers are held with so many descriptors. */
+    public static int mostLines(int sockets) {
+        return (int) (sockets * CALLERS_PART);
+    }
+
     /** Listens; ready once the result is there. */
     public Future<NetServer> listen(Address address) {
         timers.after(SWEEP_US, this::sweep);
@@ -230,6 +235,7 @@
             return;
         }
         spoke(on);
+        on.asked = true;
         Session session = new Session(id, on, m, offer.leftUs());
         on.open.add(session);
         // Guards the servers against one connection's flood; a usual caller's connection has a few open.
@@ -349,7 +355,8 @@
         @Override
         public void failed(long number) {
             answer(500, "Server Internal Error");
-            if (!on.proven) {
+            // Not one that ran out of time.
+            if (!on.proven && clock.nowUs() - sinceUs < waitUs / 2) {
                 useless(on);
             }
         }
