Retire a connection that kept silent on a set-up, after the resend time

A trace: one connection had been silent for 17 s and got every trial set-up, each timing out after 230 to 380 ms; the server answered on its other connections. Ruled out: an overload of the server (other gatekeepers' set-ups stood in 30 ms). Wrong line: Trunk.DOUBT_US, 500 ms, more than any attempt is out where the aim is 380 ms, so no connection was ever retired.

--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -26,7 +26,7 @@
 
 /** The recipe servers over their binary protocol: one line to each, and the calls that are on them. */
 public final class Trunk implements Servers<byte[]>, Line.Owner {
-    /** us. Silence after a set-up that casts doubt on a connection. */
+    /** us. Silence after a set-up that casts doubt on a connection, at the most: sooner where repeats are due sooner. */
     private static final long DOUBT_US = 500_000;
     private static final int MOST_OWN = 4_000;
     /** us. How often stopped and unneeded connections are looked for. */
@@ -37,6 +37,7 @@
     private final NetClient client;
     private final Reports reports;
     private final long probeUs;
+    private final long doubtUs;
     private final Consumer<String> log;
     private final Map<String, Line> lines = new TreeMap<>();
     private final Map<Long, Leg> byCall = new HashMap<>();
@@ -62,6 +63,8 @@
         this.log = log;
         reports = new Reports(set.report().fields());
         probeUs = Math.max(1000, set.bounds().connectTimeoutUs()) * 2;
+        long resendUs = set.familyInfo().resendUs();
+        doubtUs = resendUs > 0 ? Math.min(DOUBT_US, resendUs) : DOUBT_US;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, set.bounds().connectTimeoutUs() / 1000)));
         timers.after(SWEEP_US, this::sweep);
@@ -164,7 +167,7 @@
             return;
         }
         leg.line.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
-        if (leg.on.heardUs < leg.sentUs && clock.nowUs() - leg.sentUs > DOUBT_US) {
+        if (leg.on.heardUs < leg.sentUs && clock.nowUs() - leg.sentUs > doubtUs) {
             // Guards against a silent, vanished server: only a new connection tells it from a slow one. And against
             // one whose answer got lost: what else it is to send there may be lost too.
             leg.line.retire(leg.on);
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -411,4 +411,27 @@
             s1 < released 01
             c < BYE 01 16""");
     }
+
+    /** Guards against a connection on which nothing comes any more: the next set-up goes out on another. */
+    @Test
+    void aConnectionThatKeepsSilentIsUsedNoMore() {
+        s.play("""
+            wait 1
+            c > INVITE 01
+            s1 < set-up 01*
+            wait 401
+            c > CANCEL 01
+            c < 200 CANCEL 01
+            c < 487 INVITE 01
+            s1 < release 01 16
+            wait 100
+            s1 sees the end
+            c > INVITE 02
+            s1 < set-up 02*
+            s1 > answer 02 desc
+            c < 200 INVITE 02 desc
+            c > BYE 02
+            c < 200 BYE 02
+            s1 < release 02 16""");
+    }
 }
