Probe a server once when it is first listed, so that L leaves its floor sooner

L stands at its floor of one until a report comes, and the first came with the first call's end 0.7 s later; unasked group states carry no rate.

--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -215,6 +215,9 @@
                 servers.put(s.id, s);
                 if (cold(s)) {
                     phase(s);
+                } else if (set.bounds().probes()) {
+                    // Without a report L is at its floor, and the first would come with the first call's end.
+                    out.accept(new AskLoad(s.id));
                 }
             }
             s.stage = entry.stage();
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -186,7 +186,7 @@
     @Override
     public void probe(String server) {
         Line line = lines.get(server);
-        if (line == null || !line.isUp()) {
+        if (line == null) {
             core.checked(server, State.CONNECT_ERROR, 0, List.of());
             return;
         }
@@ -196,6 +196,7 @@
                 core.checked(server, State.TIMED_OUT, probeUs, List.of());
             }
         })));
+        // Where no connection is up yet, it goes out on the first.
         line.send(null, of(TEST, id, 1));
     }
 
--- a/src/test/java/grebewick/core/LogicTest.java
+++ b/src/test/java/grebewick/core/LogicTest.java
@@ -54,6 +54,17 @@
         assertEquals(OFF, Logic.nextLimit(OFF, 40, 1e6, 5e6, true, true), "only an outcome starts it");
     }
 
+    /** Guards against seconds at the floor after a start: the first report would come with the first call's end. */
+    @Test
+    void aServerFirstListedIsProbedOnceUnlessItIsCold() {
+        Settings probes = Sites.settings(Sites.SETTINGS.replace("\"Cancel\":true", "\"Cancel\":true,\"Probes\":true"));
+        Rig rig = new Rig(probes, 7, up("s0", 0), at("s1", 1, Stage.HEALTHY, 999 * SECOND));
+        rig.feed(new Fleet(Scope.COMPLETE, 2, List.of(up("s0", 0))));
+        assertEquals(List.of(new AskLoad("s0")), rig.actions);
+        rig.feed(new Checked(State.OK, "s0", 0, List.of(-1.0, -1.0, 100.0)));
+        rig.open("s0", 0, 4);
+    }
+
     @Test
     void controlStartsOnALongWaitAndEndsAfterACleanInterval() {
         Rig rig = two();
