Send a BYE that a stranger kept on to a likelier caller

CallerLines.best took such a connection for a caller's while none was proven, and SipFront sent a BYE once and forgot it unless its connection closed or refused it.

--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -39,6 +39,11 @@
         heardUs = nowUs;
     }
 
+    /** How sure it is that a usual caller is at the other end. */
+    int rank() {
+        return proven ? 3 : asked ? 2 : spoke ? 1 : 0;
+    }
+
     boolean rests(long nowUs) {
         return open.isEmpty() && halfUs == 0 && nowUs - heardUs >= REST_US;
     }
--- a/src/main/java/grebewick/sip/CallerLines.java
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -59,12 +59,12 @@
         return line != null && !line.closed && all.contains(line);
     }
 
-    /** Where a caller is most likely to be heard: a proven connection before another, then the last one heard. */
+    /** Where a caller is most likely to be heard: by rank, then the last one heard. */
     CallerLine best(CallerLine but) {
         CallerLine best = null;
         for (CallerLine line : all) {
-            if (line != but && line.spoke && !line.closed && (best == null || line.proven && !best.proven
-                    || line.proven == best.proven && line.heardUs >= best.heardUs)) {
+            if (line != but && line.spoke && !line.closed && (best == null || line.rank() > best.rank()
+                    || line.rank() == best.rank() && line.heardUs >= best.heardUs)) {
                 best = line;
             }
         }
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -40,6 +40,9 @@
     /** Useless requests in a row after which a connection is closed: bad ones, failed ones, ones just withdrawn. */
     private static final int MOST_USELESS = 8;
     private static final int MOST_BYES = 20_000;
+    /** us. After which a BYE without an answer goes out once more, elsewhere, and how often it goes out so. */
+    private static final long AGAIN_US = 300_000;
+    private static final int MOST_TRIES = 3;
 
     private final Vertx vertx;
     private final Gatekeeper<byte[]> core;
@@ -172,12 +175,16 @@
 
     /** It has said something of use: what is owed to any caller may go there. */
     private void spoke(CallerLine on) {
-        if (on.spoke) {
-            return;
+        if (!on.spoke) {
+            on.spoke = true;
+            rises(on);
         }
-        on.spoke = true;
+    }
+
+    /** Guards against a BYE left with a stranger: what is not answered yet goes to who is more likely a caller. */
+    private void rises(CallerLine on) {
         for (Bye bye : List.copyOf(byes.values())) {
-            if (bye.on == null) {
+            if (bye.on == null || bye.on.rank() < on.rank()) {
                 send(bye, on);
             }
         }
@@ -235,7 +242,10 @@
             return;
         }
         spoke(on);
-        on.asked = true;
+        if (!on.asked) {
+            on.asked = true;
+            rises(on);
+        }
         Session session = new Session(id, on, m, offer.leftUs());
         on.open.add(session);
         // Guards the servers against one connection's flood; a usual caller's connection has a few open.
@@ -286,6 +296,7 @@
         bye.on = on;
         if (on != null) {
             bye.sentUs = clock.nowUs();
+            bye.tries++;
             on.write(bye.message);
         }
     }
@@ -293,6 +304,13 @@
     private void sweep() {
         timers.after(SWEEP_US, this::sweep);
         long now = clock.nowUs();
+        for (Bye bye : List.copyOf(byes.values())) {
+            if (bye.on != null && now - bye.sentUs >= AGAIN_US && bye.tries < MOST_TRIES) {
+                // Callers answer at once; who does not may be none.
+                CallerLine other = lines.best(bye.on);
+                send(bye, other == null ? bye.on : other);
+            }
+        }
         byes.values().removeIf(bye -> now - bye.sentUs > (bye.on != null ? BYE_US : OWED_US));
         lines.sweep(now);
     }
@@ -302,6 +320,7 @@
         CallerLine on;
         long sentUs;
         int refused;
+        int tries;
 
         Bye(SipMessage message, long sentUs) {
             this.message = message;
@@ -341,9 +360,12 @@
             answered = true;
             stands = true;
             on.open.remove(this);
-            on.proven = true;
             on.useless = 0;
             on.write(invite.response(200, "OK", description));
+            if (!on.proven) {
+                on.proven = true;
+                rises(on);
+            }
         }
 
         @Override
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -434,4 +434,30 @@
             c < 200 BYE 02
             s1 < release 02 16""");
     }
+
+    /** Guards standing calls against strangers that take a BYE and say nothing: it goes on to who asks. */
+    @Test
+    void aReleaseThatAStrangerKeepsGoesToWhoIsACaller() {
+        s.play("""
+            d > OPTIONS 77
+            d < 200 OPTIONS 77
+            s1 > release 0a 16
+            s1 < released 0a
+            d < BYE 0a 16
+            c > INVITE 01
+            c < BYE 0a 16
+            s1 < set-up 01*
+            c > 200 BYE 0a
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            s1 > release 01 16
+            s1 < released 01
+            c < BYE 01 16
+            wait 500
+            d < BYE 01 16
+            c > 200 BYE 01
+            c has no more
+            wait 500
+            d has no more""");
+    }
 }
