Count a connection as closed only once its descriptor is gone

Wrong line: BoundedAccept decremented with the close future; the descriptor of a closed NIO channel goes only with its loop's next select, and a busy loop selects late.

--- a/src/main/java/grebewick/BoundedAccept.java
+++ b/src/main/java/grebewick/BoundedAccept.java
@@ -61,7 +61,13 @@
             int n = super.doReadMessages(accepted);
             if (n > 0) {
                 open.incrementAndGet();
-                ((SocketChannel) accepted.get(accepted.size() - 1)).closeFuture().addListener(done -> open.decrementAndGet());
+                SocketChannel child = (SocketChannel) accepted.get(accepted.size() - 1);
+                // The descriptor of a closed channel goes with its loop's next select, not with the close.
+                child.closeFuture().addListener(done -> {
+                    if (!child.eventLoop().isShuttingDown()) {
+                        child.eventLoop().schedule(open::decrementAndGet, PAUSE_MS, TimeUnit.MILLISECONDS);
+                    }
+                });
             }
             return n;
         }
