Close no server connection under a standing call; follow a broken one by a new one

Trunk.giveUp retires one too after silence. Ruled out: BYEs (each release heard was passed on in the same turn, and each BYE got its 200), strays, processor time (the loop used 6 % of a core at that moment; the cap is reached in the first seconds alone).

Change: a retired connection stays while a call stands on it; one without need is half-closed and read to its end; any that breaks is followed by a new one, opened after it; connections younger than the start that the list tells of stay.

Three new tests fail without the change.

--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -32,6 +32,8 @@
     private static final long HALF_US = 300_000;
     /** us. After which a connection more than the spare ones, without a call, is closed. */
     private static final long UNUSED_US = 3_000_000;
+    /** us. In which a server closes its side of a connection that was ended from this one. */
+    private static final long FAREWELL_US = 1_000_000;
     /** Bytes not yet taken by the network above which a connection counts as stuck. */
     private static final int BACKLOG = 1 << 20;
     private static final int MOST_OWED = 10_000;
@@ -64,6 +66,8 @@
     private long notBeforeUs = Long.MIN_VALUE;
     private int mute;
     private boolean unreachable;
+    /** A connection broke off: what was on its way to here comes again on the next one to be opened, and only there. */
+    private boolean renew;
 
     Line(String id, Address address, long launchedUs, NetClient client, Clock clock, Timers timers, Owner owner,
          Consumer<String> log) {
@@ -111,35 +115,40 @@
 
     /** It may have moved or started anew: connections from before may be dead without a word. */
     void update(Address now, long launched) {
-        boolean anew = !now.equals(address) || launched > launchedUs;
+        boolean moved = !now.equals(address);
+        boolean anew = moved || launched > launchedUs;
         address = now;
         launchedUs = Math.max(launched, launchedUs);
         if (anew) {
-            List.copyOf(links).forEach(this::retire);
+            // The list is late: what has come up since the start it tells of is the new process's already.
+            List.copyOf(links).stream().filter(l -> moved || l.sinceUs <= launched).forEach(this::retire);
             connect();
         }
     }
 
-    /** Nothing new goes out there; it is closed once nothing is open on it, or after a while. */
+    /** Nothing new goes out there; it is closed once no call is left on it, or after a while. */
     void retire(Link link) {
         if (!link.retired) {
             link.retired = true;
-            timers.after(OLD_US, link.socket::close);
+            timers.after(OLD_US, () -> drop(link));
             connect();
         }
     }
 
     /** Opens one more connection, if it may be tried now. */
     void connect() {
-        if (connecting || !listed || usable() >= MOST || clock.nowUs() < notBeforeUs) {
+        if (connecting || !listed || usable() >= MOST && !renew || clock.nowUs() < notBeforeUs) {
             return;
         }
         connecting = true;
+        boolean renewing = renew;
+        renew = false;
         client.connect(address.socket()).onComplete(done -> {
             connecting = false;
             if (done.succeeded()) {
                 begin(done.result());
             } else {
+                renew |= renewing;
                 failed(done.cause());
             }
         });
@@ -150,16 +159,19 @@
         links.add(link);
         unreachable = false;
         socket.handler(bytes -> read(link, bytes));
-        socket.exceptionHandler(e -> socket.close());
+        socket.exceptionHandler(e -> {
+            link.broken = true;
+            socket.close();
+        });
         socket.closeHandler(v -> closed(link));
         for (TrunkMessage m = owed.poll(); m != null; m = owed.poll()) {
             write(link, m);
         }
         owner.up(this);
         if (!listed) {
-            socket.close();
-        } else if (usable() < SPARE) {
-            connect();
+            drop(link);
+        } else {
+            refill();
         }
     }
 
@@ -184,14 +196,30 @@
 
     /** Of no further use: whatever is open on it is lost, now and not when the other side has closed too. */
     private void drop(Link link) {
+        link.broken = true;
         closed(link);
         link.socket.close();
     }
 
+    /**
+     * Closes a connection that nothing is open on. Guards against the loss of a release that the server is just
+     * sending there: this side ends, the server's is heard to its own end.
+     */
+    private void finish(Link link) {
+        if (!link.finishing) {
+            link.finishing = true;
+            link.retired = true;
+            link.shutdownOutput();
+            timers.after(FAREWELL_US, () -> drop(link));
+        }
+    }
+
     private void closed(Link link) {
         if (!links.remove(link)) {
             return;
         }
+        // Not after a farewell, which leaves nothing on its way.
+        renew |= listed && (link.broken || !link.finishing);
         owner.lost(this, link);
         mute = link.heard ? 0 : mute + 1;
         if (mute >= MOST_MUTE) {
@@ -206,7 +234,7 @@
     }
 
     private void refill() {
-        if (usable() < SPARE) {
+        if (usable() < SPARE || renew) {
             connect();
         }
     }
@@ -236,6 +264,9 @@
     /** Sends on the connection given, or else on another, or on the next one to come up. */
     void send(Link on, TrunkMessage message) {
         Link link = on != null && links.contains(on) ? on : null;
+        if (link != null && link.finishing) {
+            link = null;
+        }
         for (Link other : links) {
             link = link == null && !other.retired ? other : link;
         }
@@ -262,15 +293,15 @@
             if (link.halfUs > 0 && nowUs - link.halfUs >= HALF_US) {
                 log.accept("trunk " + id + ": closed, as it stopped in the middle of a message");
                 drop(link);
-            } else if (link.retired && link.open() == 0
-                    || link.legs.isEmpty() && usable() > SPARE && nowUs - link.usedUs >= UNUSED_US) {
-                drop(link);
+            } else if (link.legs.isEmpty()
+                    && (link.retired || usable() > SPARE && nowUs - link.usedUs >= UNUSED_US)) {
+                finish(link);
             }
         }
     }
 
     void closeIdle() {
-        List.copyOf(links).forEach(this::drop);
+        List.copyOf(links).forEach(this::finish);
     }
 
     /** It is gone from the list: no new connection; one that stays open in silence is closed. */
--- a/src/main/java/grebewick/trunk/Link.java
+++ b/src/main/java/grebewick/trunk/Link.java
@@ -1,5 +1,7 @@
 package grebewick.trunk;
 
+import io.netty.channel.socket.DuplexChannel;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -10,6 +12,7 @@
     final TrunkCodec codec = new TrunkCodec();
     /** Calls whose set-up went out here: waiting for their answer, and standing. */
     final Set<Trunk.Leg> legs = new LinkedHashSet<>();
+    final long sinceUs;
     /** When a whole message last came, or it came up. */
     long heardUs;
     boolean heard;
@@ -17,16 +20,28 @@
     long halfUs;
     /** No new set-ups: what is open here may still end. */
     boolean retired;
+    /** This side has ended it, and waits for the other to do so. */
+    boolean finishing;
+    /** Reset, or closed from this side with the other's end not heard. */
+    boolean broken;
     /** When it was last given a set-up. */
     long usedUs;
     int stuck;
 
     Link(NetSocket socket, long nowUs) {
         this.socket = socket;
+        sinceUs = nowUs;
         heardUs = nowUs;
         usedUs = nowUs;
     }
 
+    /** Ends this direction alone; what comes in the other is still read. */
+    void shutdownOutput() {
+        if (((NetSocketInternal) socket).channelHandlerContext().channel() instanceof DuplexChannel channel) {
+            channel.shutdownOutput();
+        }
+    }
+
     /** Set-ups that wait for their answer here. */
     int open() {
         int n = 0;
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -476,4 +476,75 @@
             c < 200 BYE 02
             s2 < release 02 16""");
     }
+
+    /** Guards the ends of calls against a close from this side that crosses them: the server takes them as told. */
+    @Test
+    void aRetiredConnectionIsNotClosedUnderACallThatStandsOnIt() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            wait 1
+            c > INVITE 02
+            s1 < set-up 02*
+            wait 401
+            c > CANCEL 02
+            c < 200 CANCEL 02
+            c < 487 INVITE 02
+            s1 < release 02 16
+            wait 100
+            s1 has no more
+            s1 > release 01 16
+            s1 < released 01
+            c < BYE 01 16
+            wait 100
+            s1 sees the end""");
+    }
+
+    /** Guards the ends of calls that were on their way on a connection that broke: they come again on the next one. */
+    @Test
+    void aBrokenConnectionIsFollowedByANewOneThoughOthersAreUp() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            wait 1
+            c > INVITE 02
+            s1 < set-up 02*
+            wait 401
+            c > CANCEL 02
+            c < 200 CANCEL 02
+            c < 487 INVITE 02
+            s1 < release 02 16
+            s1 reached 3
+            s1 closes
+            s1 reached 4
+            s1 > release 01 16
+            s1 < released 01
+            c < BYE 01 16""");
+    }
+
+    /** Guards the calls of a new process against the news of its start, which comes later than they do. */
+    @Test
+    void theLateNewsOfAStartEndsNoConnectionWithTheNewProcess() {
+        s.play("""
+            wait 1000
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc""");
+        Endpoint late = new Endpoint(Sites.entry("s1", 0, Stage.HEALTHY, s.on(() -> s.clock.nowUs()) - 1_500_000), one.address());
+        s.on(() -> {
+            node.tell(Scope.COMPLETE, List.of(late, two));
+            return null;
+        });
+        s.play("""
+            wait 100
+            s1 has no more
+            s1 > release 01 16
+            s1 < released 01
+            c < BYE 01 16""");
+    }
 }
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -24,8 +24,8 @@
 /**
  * Plays a scenario against a program on loopback sockets. A line is {@code PARTY > MESSAGE} (send),
  * {@code PARTY < MESSAGE} (expect; {@code *} at the end stands for any rest), {@code PARTY connects}, {@code PARTY closes},
- * {@code PARTY sees the end}, {@code PARTY listens}, {@code PARTY stops}, {@code PARTY has no more} or
- * {@code wait MS}. Expectations wait for the message itself; only {@code wait} lets time pass.
+ * {@code PARTY sees the end}, {@code PARTY listens}, {@code PARTY stops}, {@code PARTY has no more},
+ * {@code PARTY reached N} (so many connections with it have come up in all) or {@code wait MS}. Expectations wait for the message itself; only {@code wait} lets time pass.
  */
 public final class Scenario implements AutoCloseable {
     private static final long PATIENCE_S = 20;
@@ -121,6 +121,7 @@
             case "sees" -> party.expect("(closed)");
             case "listens" -> party.listen();
             case "stops" -> party.stop();
+            case "reached" -> until(() -> party.accepted >= Integer.parseInt(words[2]));
             case "has" -> {
                 party.send(party.dialect.ping()[0]);
                 party.expect(party.dialect.ping()[1]);
@@ -144,6 +145,7 @@
         NetClient client;
         final Set<NetSocket> open = new LinkedHashSet<>();
         volatile NetSocket socket;
+        int accepted;
 
         Party(String name, Dialect dialect) {
             this.name = name;
@@ -165,6 +167,7 @@
         /** A program may hold several connections: a party speaks on the one that it heard last. */
         void attach(NetSocket s) {
             open.add(s);
+            accepted++;
             socket = socket == null ? s : socket;
             s.handler(dialect.reader(message -> {
                 socket = s;
