--- a/src/main/java/grebewick/BoundedAccept.java
+++ b/src/main/java/grebewick/BoundedAccept.java
@@ -1,6 +1,7 @@
 package grebewick;
 
 import io.netty.channel.ChannelFactory;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -11,7 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Vert.x's transport, with a bound on the connections that its servers have accepted and that are not closed yet.
+ * Vert.x's transport, which sleeps until a timer is due ({@link WholeMillis}), and with a bound on the connections that its servers have accepted and that are not closed yet.
  * Guards the descriptors: Vert.x accepts on a thread of its own, hundreds before the event loop has seen the first,
  * and a process without a descriptor left accepts nothing for a second. What is not accepted waits in the backlog.
  */
@@ -45,6 +46,11 @@
         return this;
     }
 
+    @Override
+    public IoHandlerFactory ioHandlerFactory() {
+        return WholeMillis.over(super.ioHandlerFactory());
+    }
+
     @Override
     public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
         return domainSocket ? super.serverChannelFactory(true) : Server::new;
--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -2,6 +2,8 @@
 
 import grebewick.config.BadConfig;
 import grebewick.config.NodeConfig;
+import grebewick.core.CallControl.Grade;
+import grebewick.core.CallControl.Settings;
 import grebewick.core.Clock;
 import grebewick.core.Timers;
 import grebewick.diameter.DiameterConfig;
@@ -18,7 +20,8 @@
 final class Daemon {
     /** ms. How long after SIGTERM calls still come in and are taken. */
     private static final long STILL_COMING_MS = 700;
-    private static final long CHECK_MS = 20;
+    /** us. A planned restart waits for the longest deadline, counted as this where it is longer. */
+    private static final long LONGEST_US = 3_000_000;
 
     /** Connections that may be accepted and not yet looked at, beside those that the front holds. */
     private static final int UNSEEN = 32;
@@ -27,6 +30,8 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private Node node;
     private DiameterNode diameter;
+    private Timers timers;
+    private long longestUs;
 
     private Daemon(int mostAccepted) {
         vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
@@ -47,15 +52,17 @@
     }
 
     private void run(NodeConfig config, DiameterConfig second) {
+        longestUs = Math.max(config == null ? 0 : longestUs(config.settings()), second == null ? 0 : second.requestUs());
         // Monotonic, and the Unix time at the start: so the list's Unix times need no second conversion.
         long zeroUs = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
         Clock clock = () -> zeroUs + System.nanoTime() / 1000;
-        Timers timers = (us, task) -> {
+        timers = (us, task) -> {
             long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
             return () -> vertx.cancelTimer(id);
         };
         if (config != null) {
             node = new Node(vertx, config, clock, timers, Daemon::log);
+            new LoopWatch(clock, timers, this::work, Daemon::log).start();
             node.start().onSuccess(port -> log(config.name() + " serves")).onFailure(e -> fail(config.listen(), e));
         }
         if (second != null) {
@@ -97,25 +104,39 @@
                 if (node != null) {
                     node.refuseCalls();
                 }
-                vertx.setPeriodic(CHECK_MS, p -> {
-                    if ((node == null || node.calls() == 0) && (diameter == null || diameter.unanswered() == 0)) {
-                        if (diameter != null) {
-                            diameter.leave();
-                        }
-                        ended.countDown();
-                    }
-                });
+                new Leave(timers, Math.min(longestUs, LONGEST_US), this::debts, this::work, Daemon::log, this::leave).start();
             });
         });
         try {
+            // The loop itself ends in time; this guards against one that does not turn.
             if (!ended.await(60, TimeUnit.SECONDS)) {
-                log("stops with calls still standing");
+                log("ends: the event loop stands still");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void leave() {
+        if (diameter != null) {
+            diameter.leave();
+        }
+        ended.countDown();
+    }
+
+    private Debts debts() {
+        return (node == null ? Debts.NONE : node.debts()).and(diameter == null ? Debts.NONE
+            : new Debts(0, diameter.unanswered(), diameter.owed(), 0));
+    }
+
+    private Work work() {
+        return node == null ? Work.NONE : node.work();
+    }
+
+    private static long longestUs(Settings settings) {
+        return settings.grades().stream().mapToLong(Grade::hardLimitUs).max().orElse(0);
+    }
+
     private static void log(String line) {
         System.err.println(line);
     }
--- /dev/null
+++ b/src/main/java/grebewick/Debts.java
@@ -0,0 +1,26 @@
+package grebewick;
+
+/**
+ * What a process owes to others before it may end.
+ *
+ * @param standing   calls that stand
+ * @param unanswered calls that want their answer
+ * @param ends       ends of calls that are to be told, or told again
+ * @param bytes      written, and not yet taken by the network
+ */
+record Debts(int standing, int unanswered, int ends, long bytes) {
+    static final Debts NONE = new Debts(0, 0, 0, 0);
+
+    boolean none() {
+        return standing == 0 && unanswered == 0 && ends == 0 && bytes == 0;
+    }
+
+    Debts and(Debts other) {
+        return new Debts(standing + other.standing, unanswered + other.unanswered, ends + other.ends, bytes + other.bytes);
+    }
+
+    @Override
+    public String toString() {
+        return standing + " calls standing, " + unanswered + " unanswered, " + ends + " ends untold, " + bytes + " bytes unwritten";
+    }
+}
--- /dev/null
+++ b/src/main/java/grebewick/Leave.java
@@ -0,0 +1,57 @@
+package grebewick;
+
+import grebewick.core.Timers;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * When a process that was told to end may go: once nothing is owed and nothing has come in for two looks, or when its
+ * time is up. Decides only; what is owed is handed in.
+ */
+final class Leave {
+    /** us. Between looks: long enough for the loop to have read what is there. */
+    static final long LOOK_US = 20_000;
+    /** Looks in a row that must find nothing owed and nothing new. */
+    private static final int QUIET = 2;
+
+    private final Timers timers;
+    private final Supplier<Debts> debts;
+    private final Supplier<Work> work;
+    private final Consumer<String> log;
+    private final Runnable go;
+    private long leftUs;
+    private int quiet;
+    private Work before;
+
+    /** {@code mostUs}: how long it may take; {@code go} is run once, at its end. */
+    Leave(Timers timers, long mostUs, Supplier<Debts> debts, Supplier<Work> work, Consumer<String> log, Runnable go) {
+        this.timers = timers;
+        this.leftUs = mostUs;
+        this.debts = debts;
+        this.work = work;
+        this.log = log;
+        this.go = go;
+    }
+
+    void start() {
+        before = work.get();
+        timers.after(LOOK_US, this::look);
+    }
+
+    private void look() {
+        leftUs -= LOOK_US;
+        Work now = work.get();
+        Debts owed = debts.get();
+        quiet = owed.none() && now.equals(before) ? quiet + 1 : 0;
+        before = now;
+        if (quiet >= QUIET) {
+            log.accept("ends: nothing is owed");
+        } else if (leftUs <= 0) {
+            log.accept("ends: its time is up; left behind: " + owed);
+        } else {
+            timers.after(LOOK_US, this::look);
+            return;
+        }
+        go.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/grebewick/LoopWatch.java
@@ -0,0 +1,73 @@
+package grebewick;
+
+import grebewick.core.Clock;
+import grebewick.core.Timers;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * How long the event loop kept others waiting, and what it was busy with meanwhile. A look that comes late by more
+ * than a bound is told, the longest of each period, so that a stalled gatekeeper writes a line and not a flood.
+ */
+final class LoopWatch {
+    /** us. Between looks. */
+    static final long LOOK_US = 50_000;
+    /** us. Lateness from which on it is told. */
+    static final long TELL_US = 50_000;
+    /** us. In which one line is written at most. */
+    static final long PERIOD_US = 5_000_000;
+
+    private final Clock clock;
+    private final Timers timers;
+    private final Supplier<Work> work;
+    private final Consumer<String> log;
+    private Work before;
+    private long dueUs;
+    private long fromUs;
+    private long longestUs;
+    private long lateUs;
+    private int late;
+    private Work longest = Work.NONE;
+
+    LoopWatch(Clock clock, Timers timers, Supplier<Work> work, Consumer<String> log) {
+        this.clock = clock;
+        this.timers = timers;
+        this.work = work;
+        this.log = log;
+    }
+
+    void start() {
+        before = work.get();
+        fromUs = clock.nowUs();
+        next(fromUs);
+    }
+
+    private void next(long nowUs) {
+        dueUs = nowUs + LOOK_US;
+        timers.after(LOOK_US, this::look);
+    }
+
+    private void look() {
+        long nowUs = clock.nowUs();
+        Work now = work.get();
+        long us = nowUs - dueUs;
+        if (us >= TELL_US) {
+            late++;
+            lateUs += us;
+            if (us > longestUs) {
+                longestUs = us;
+                longest = now.since(before);
+            }
+        }
+        before = now;
+        if (late > 0 && nowUs - fromUs >= PERIOD_US) {
+            log.accept("loop: late " + late + " times, by " + lateUs / 1000 + " ms in all, " + longestUs / 1000
+                + " ms at most, with " + longest);
+            late = 0;
+            lateUs = 0;
+            longestUs = 0;
+        }
+        fromUs = nowUs - fromUs >= PERIOD_US ? nowUs : fromUs;
+        next(nowUs);
+    }
+}
--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -4,15 +4,14 @@
 import grebewick.config.BadConfig;
 import grebewick.config.NodeConfig;
 import grebewick.diameter.DiameterConfig;
-import java.io.IOException;
 import java.util.Map;
 
-/** The command line: {@code serve} runs a gatekeeper, {@code benchlink} the simulator's adapter, {@code rehearse} one call. */
+/** The command line: {@code serve} runs a gatekeeper, {@code benchlink} the simulator's adapter, {@code rehearse} a few calls. */
 public final class Main {
     private Main() { }
 
     /** Runs the command; exits with 2 on a bad command line or configuration. */
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) throws Exception {
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "benchlink" -> System.exit(Adapter.run());
--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -72,6 +72,12 @@
         log.accept("configuration read anew; names " + next.names());
     }
 
+    /** Closes every socket at once, whatever is open: what a killed process leaves. Timers are the owner's to stop. */
+    public Future<Void> close() {
+        return Future.join(front.close(), trunk.close(), poller == null ? Future.succeededFuture() : poller.close(),
+            peers == null ? Future.succeededFuture() : peers.close()).mapEmpty();
+    }
+
     /** The list of servers as it now is. */
     void tell(Scope scope, List<Endpoint> list) {
         // The lines first: the module may send to a new server within the turn that tells of it.
@@ -93,4 +99,15 @@
     public int calls() {
         return core.calls();
     }
+
+    /** What this gatekeeper would leave behind if it ended now. */
+    public Debts debts() {
+        return new Debts(core.calls() - core.unanswered(), core.unanswered(), front.owed().open() + trunk.owed(),
+            front.unwritten() + trunk.unwritten());
+    }
+
+    /** Messages from callers and from servers, and ends told, since the start: what the loop was busy with. */
+    public Work work() {
+        return new Work(front.taken(), trunk.taken(), front.owed().told());
+    }
 }
--- a/src/main/java/grebewick/Rehearsal.java
+++ b/src/main/java/grebewick/Rehearsal.java
@@ -1,46 +1,94 @@
 package grebewick;
 
 import grebewick.config.NodeConfig;
+import grebewick.lab.StandInCallers;
+import grebewick.lab.StandInNames;
+import grebewick.lab.StandInServer;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /**
- * A gatekeeper that serves one test and one call of its own on loopback, and ends. Run once after the build with
- * {@code -XX:ArchiveClassesAtExit}, it leaves the archive from which later starts load their classes: a restarting
- * gatekeeper takes no calls, and half of its time to start went into loading and verifying classes.
+ * A gatekeeper that serves a few calls between stand-ins of its own on loopback, and ends. Run once after the build
+ * with {@code -XX:ArchiveClassesAtExit}, it leaves the archive from which later starts load their classes: a restarting
+ * gatekeeper takes no calls, and half of its time to start went into loading and verifying classes. What it does not
+ * play is loaded from the jar when it first happens, and costs the loop up to 50 ms then: so each way in which a
+ * call can end is played.
  */
 final class Rehearsal {
-    private static final int PATIENCE_MS = 10_000;
+    private static final int PATIENCE_S = 10;
+    private static final int CALLS = 12;
+    private static final long DEADLINE_MS = 400;
     private static final String CONFIG = """
         {"listen":"127.0.0.1:%d","names":"127.0.0.1:%d","known":{"index":1,"updates":[{"snapshot":true,"endpoints":[
           {"name":"s-1","address":"127.0.0.1:%d","zone":"a","type":"a","group":0,"status":"up","weight":1,"since_ms":0}]}]},
-         "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[0]],"Resend":100000,"Shape":"pools"},
-          "Bounds":{"AttemptsCap":4,"ConnectTimeout":500000,"MaxOpen":100},"ReplicasOfMe":1,
-          "Grades":[{"Name":"a","GoalTime":200000,"HardLimit":1000000}],
-          "Report":{"Fields":["free","size","can_take"],"How":"inline"},
+         "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[0,1]],"Release":10000,"Resend":100000,"Shape":"pools"},
+          "Bounds":{"AttemptsCap":4,"Cancel":true,"ConnectTimeout":500000,"MaxOpen":100,"Probes":true,"RetryAfter":true},"ReplicasOfMe":1,
+          "Grades":[{"Name":"a","GoalTime":200000,"HardLimit":1000000,"Effect":"retryable","Worth":1.0}],
+          "Report":{"Fields":["free","size","can_take","queue"],"How":"inline"},
           "Rules":{"Cold":1000000,"ColdFrom":0.5,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3}}}""";
-    private static final String TEST = "OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: 0000000000000001\r\nCSeq: 1 OPTIONS\r\n"
-        + "Content-Length: 0\r\n\r\n";
-    private static final String CALL = "INVITE sip:1@net SIP/2.0\r\nCall-ID: 0000000000000002\r\nCSeq: 1 INVITE\r\nX-Tier: a\r\n"
-        + "X-Deadline: 500\r\nX-Attrs: dest:0;width:1;via:-1\r\nContent-Length: 1\r\n\r\nx";
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final CountDownLatch done = new CountDownLatch(1);
+    private int calls;
 
     private Rehearsal() { }
 
-    /** Plays it; gives what the call was answered. */
-    static String run() throws IOException {
+    /** Plays it; gives the outcomes of the calls by name. */
+    static String run() throws Exception {
+        return new Rehearsal().play();
+    }
+
+    private String play() throws Exception {
+        StandInServer server = new StandInServer(vertx, 2, 20, 3, id -> { });
+        StandInServer other = new StandInServer(vertx, 2, 20, 1, id -> { });
+        StandInNames names = new StandInNames(vertx);
         int port = freePort();
-        int nobody = freePort();
-        Daemon.start(NodeConfig.parse(CONFIG.formatted(port, nobody, nobody), Map.of()), null, Map.of());
-        try (Socket client = connect(port)) {
-            client.setSoTimeout(PATIENCE_MS);
-            ask(client, TEST);
-            return ask(client, CALL);
+        int serverPort = await(() -> server.listen(0));
+        int otherPort = await(() -> other.listen(0));
+        int namesPort = await(names::listen);
+        Daemon.start(NodeConfig.parse(CONFIG.formatted(port, namesPort, serverPort), Map.of()), null, Map.of());
+        names.list(List.of(new StandInNames.Host("s-1", "a", serverPort, 0, false, 0),
+            new StandInNames.Host("s-2", "a", otherPort, 1, false, 0)));
+        StandInCallers callers = new StandInCallers(vertx, "a", DEADLINE_MS);
+        connect(callers, port);
+        vertx.setPeriodic(15, t -> {
+            if (calls++ < CALLS) {
+                callers.call(calls % 2, System.nanoTime() / 1000);
+                if (calls % 3 == 0) {
+                    callers.hangUp();
+                }
+            } else if (callers.standing() == 0 || calls > CALLS + 50) {
+                vertx.cancelTimer(t);
+                server.cutAll();
+                server.die().compose(v -> other.die()).onComplete(v -> done.countDown());
+            }
+        });
+        if (!done.await(PATIENCE_S, TimeUnit.SECONDS)) {
+            throw new IOException("the rehearsal does not end: " + callers.counts());
         }
+        return callers.counts().toString();
+    }
+
+    private <T> T await(Callable<Future<T>> step) throws Exception {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        vertx.getOrCreateContext().runOnContext(v -> {
+            try {
+                step.call().onSuccess(result::complete).onFailure(result::completeExceptionally);
+            } catch (Exception e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result.get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
     private static int freePort() throws IOException {
@@ -50,12 +98,13 @@
     }
 
     /** The daemon starts beside this thread: it listens soon. */
-    private static Socket connect(int port) throws IOException {
-        long endNs = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+    private void connect(StandInCallers callers, int port) throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
         while (true) {
             try {
-                return new Socket(InetAddress.getLoopbackAddress(), port);
-            } catch (IOException e) {
+                await(() -> callers.connect(port, 2));
+                return;
+            } catch (Exception e) {
                 if (System.nanoTime() > endNs) {
                     throw e;
                 }
@@ -63,19 +112,4 @@
             }
         }
     }
-
-    /** The first line of the answer; it comes without a body, and so ends with its headers. */
-    private static String ask(Socket client, String message) throws IOException {
-        client.getOutputStream().write(message.getBytes(StandardCharsets.UTF_8));
-        InputStream in = client.getInputStream();
-        StringBuilder answer = new StringBuilder();
-        while (answer.indexOf("\r\n\r\n") < 0) {
-            int c = in.read();
-            if (c < 0) {
-                throw new IOException("closed after " + answer);
-            }
-            answer.append((char) c);
-        }
-        return answer.substring(0, answer.indexOf("\r\n"));
-    }
 }
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -26,6 +26,11 @@
     /** us. After a call's end, for the module to answer first. */
     private static final long GUARD_US = 5_000;
 
+    /** Cut calls that one turn ends, and us to the next: 500 at once must not keep set-ups waiting. */
+    private static final int CUTS_A_TURN = 32;
+    private static final long CUTS_GAP_US = 1_000;
+    private static final long CUTS = -1;
+
     private final Settings set;
     private final CallControl module;
     private final Clock clock;
@@ -38,6 +43,12 @@
     private final PriorityQueue<Wake> wakes =
         new PriorityQueue<>(Comparator.comparingLong(Wake::atUs).thenComparingLong(Wake::order));
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
+    /** Calls that can't stand any more, and are yet to be ended; the eldest first. */
+    private final ArrayDeque<Long> cuts = new ArrayDeque<>();
+    private boolean cutsArmed;
+    /** The turn that ended the last slice. */
+    private long cutsTurn;
+    private long turnNo;
     private long order;
     private long nextCall = 1;
     private long nowUs;
@@ -64,6 +75,9 @@
     public long offer(Offer<P> offer, Callers<P> caller) {
         long id = nextCall++;
         turn(() -> {
+            if (!cuts.isEmpty()) {
+                workCuts();
+            }
             Life<P> life = new Life<>(id, offer, caller, nowUs + Math.max(0, offer.leftUs() - ANSWER_MARGIN_US));
             unanswered++;
             calls.put(id, life);
@@ -266,8 +280,28 @@
         }
         lost.sort(Comparator.comparingLong(life -> life.id));
         for (Life<P> life : lost) {
-            servers.release(life.id, server);
-            finish(life, Ending.CUT, List.of());
+            if (!life.cut) {
+                life.cut = true;
+                cuts.add(life.id);
+            }
+        }
+        workCuts();
+    }
+
+    /** Ends one slice of the calls that were cut; the rest follows in turns of its own, and before what is new. */
+    private void workCuts() {
+        // One slice a turn, whatever asks for it.
+        for (int i = 0; i < CUTS_A_TURN && !cuts.isEmpty() && turnNo != cutsTurn; i++) {
+            Life<P> life = calls.get(cuts.poll());
+            if (life != null && life.standsAt != null) {
+                servers.release(life.id, life.standsAt);
+                finish(life, Ending.CUT, List.of());
+            }
+        }
+        cutsTurn = turnNo;
+        if (!cuts.isEmpty() && !cutsArmed) {
+            cutsArmed = true;
+            at(nowUs + CUTS_GAP_US, CUTS, 0);
         }
     }
 
@@ -305,6 +339,7 @@
             return;
         }
         turning = true;
+        turnNo++;
         nowUs = Math.max(nowUs, clock.nowUs());
         try {
             step.run();
@@ -335,6 +370,11 @@
     }
 
     private void due(Wake wake) {
+        if (wake.call == CUTS) {
+            cutsArmed = false;
+            workCuts();
+            return;
+        }
         if (wake.call == 0) {
             inbox.add(new Due(wake.name));
             return;
@@ -393,6 +433,7 @@
         int copies;
         Out out;
         boolean answered;
+        boolean cut;
         String standsAt;
         long stoodUs;
         long notBeforeUs = Long.MIN_VALUE;
@@ -407,6 +448,6 @@
 
     private record Out(int copy, String server, long sentUs) { }
 
-    /** {@code call} 0: the module's reminder; else the end of attempt {@code name}, negative: of the call. */
+    /** {@code call} 0: the module's reminder; {@link #CUTS}: more calls to cut; else the end of attempt {@code name}, negative: of the call. */
     private record Wake(long atUs, long order, long call, long name) { }
 }
--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -8,6 +8,9 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Timers;
+import grebewick.owed.Policy;
+import grebewick.owed.Teller;
+import grebewick.owed.Ways;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -22,6 +25,8 @@
 final class DiameterFront implements Connection.Owner {
     /** Answers that are kept for repeats, RFC 6733, section 3. */
     private static final int REMEMBERED = 5_000;
+    private static final int MOST_OWED = 10_000;
+    private static final long SWEEP_US = 1_000_000;
     /** us. What a refused client is told where the module gives no advice. */
     private static final long COME_BACK_US = 1_000_000;
     /** AVPs that this node understands; another one with the M bit can't be passed over. */
@@ -49,6 +54,8 @@
             return size() > REMEMBERED;
         }
     };
+    /** ASRs, by session: each goes to its own client, and waits for it for as long as the session is remembered. */
+    private final Teller<Session, DiameterMessage, Connection> owed;
     private long nextOffer = 1;
     private int nextEndToEnd;
     private boolean stopping;
@@ -62,6 +69,14 @@
         this.timers = timers;
         this.log = log;
         this.nextEndToEnd = (int) (clock.nowUs() >> 4);
+        long keptUs = config.requestUs();
+        owed = new Teller<>(new Policy(keptUs, 1, keptUs, keptUs, MOST_OWED), new ToClients(), clock, timers, SWEEP_US);
+        owed.start();
+    }
+
+    /** Sessions whose ends their clients are still to be told. */
+    int owed() {
+        return owed.counts().unsent() + owed.counts().spent();
     }
 
     void accept(NetSocket socket) {
@@ -102,6 +117,7 @@
         }, config.watchdogUs(), config.jitterUs(), c.peer().hashCode());
         watchdogs.put(c, watchdog);
         watchdog.up();
+        owed.found(c);
     }
 
     @Override
@@ -117,6 +133,7 @@
     @Override
     public void closed(Connection c) {
         connections.remove(c);
+        owed.lost(c);
         Watchdog watchdog = watchdogs.remove(c);
         if (watchdog != null) {
             watchdog.down();
@@ -208,6 +225,7 @@
             throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
         }
         sessions.remove(s.id, s);
+        owed.told(s);
         on.send(m.answer(me, SUCCESS));
         if (!s.aborted) {
             core.releasedByCaller(s.call);
@@ -278,21 +296,37 @@
             avps.add(Avp.text(Avp.DESTINATION_HOST, request.text(Avp.ORIGIN_HOST)));
             avps.add(Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ));
             DiameterMessage asr = new DiameterMessage(REQUEST | PROXIABLE, ABORT_SESSION, NASREQ, 0, nextEndToEnd++, avps);
-            Connection to = on.isOpen() ? on : another();
-            // The client ends the session with an STR; one that is away has no session to come back to.
+            // The client ends the session with an STR; one that stays away has no session to come back to.
             timers.after(config.requestUs(), () -> sessions.remove(id, this));
-            if (to != null) {
-                to.request(asr, asa -> { });
-            }
+            owed.owe(this, asr, on);
         }
+    }
 
-        private Connection another() {
+    /** A session's end is told to its own client alone, on any of its connections. */
+    private final class ToClients implements Ways<Session, DiameterMessage, Connection> {
+        @Override
+        public Connection best(Session s, Connection but) {
             for (Connection c : connections) {
-                if (c.isOpen() && c.peer().equals(on.peer())) {
+                if (c != but && c.isOpen() && c.peer().equals(s.on.peer())) {
                     return c;
                 }
             }
             return null;
         }
+
+        @Override
+        public int rank(Connection way) {
+            return way.isOpen() ? 0 : -1;
+        }
+
+        @Override
+        public void write(Session s, DiameterMessage asr, Connection way, boolean again) {
+            // Its answer settles it, whatever it says: a session that is not known is ended too.
+            way.request(again ? asr.with(asr.flags() | RETRANSMITTED, 0, asr.avps()) : asr, asa -> {
+                if (asa != null) {
+                    owed.told(s);
+                }
+            });
+        }
     }
 }
--- a/src/main/java/grebewick/diameter/DiameterNode.java
+++ b/src/main/java/grebewick/diameter/DiameterNode.java
@@ -88,6 +88,11 @@
         return core.unanswered();
     }
 
+    /** Ends of sessions that are still to be told, on either side. */
+    public int owed() {
+        return front.owed() + servers.owed();
+    }
+
     int sessions() {
         return front.sessions();
     }
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -13,10 +13,12 @@
 import grebewick.core.Offer;
 import grebewick.core.Servers;
 import grebewick.core.Timers;
+import grebewick.owed.Policy;
+import grebewick.owed.Teller;
+import grebewick.owed.Ways;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -28,7 +30,10 @@
 final class DiameterServers implements Servers<DiameterMessage> {
     private static final int LOGOUT = 1;
     private static final int ADMINISTRATIVE = 4;
+    /** STRs wait for their peer for 10 min; without an answer on an open connection they are not repeated, but told lost with it. */
+    private static final long OWED_US = 600_000_000;
     private static final int MOST_OWED = 10_000;
+    private static final long SWEEP_US = 1_000_000;
 
     private final DiameterConfig config;
     private final Identity me;
@@ -39,6 +44,7 @@
     private final Map<String, Upstream> peers = new TreeMap<>();
     private final Map<Long, Leg> legs = new HashMap<>();
     private final Map<String, Leg> bySession = new HashMap<>();
+    private final Teller<Owed, DiameterMessage, Connection> owed;
     private Gatekeeper<DiameterMessage> core;
     private int nextEndToEnd;
     private boolean stopping;
@@ -50,6 +56,7 @@
         this.timers = timers;
         this.log = log;
         this.nextEndToEnd = (int) clock.nowUs();
+        owed = new Teller<>(new Policy(OWED_US, 1, OWED_US, OWED_US, MOST_OWED), new ToPeers(), clock, timers, SWEEP_US);
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, config.settings().bounds().connectTimeoutUs() / 1000)));
     }
@@ -60,6 +67,12 @@
         config.peers().forEach(p -> peers.put(p.host(), new Upstream(p)));
         tell(Scope.PERSISTED, Map.of());
         peers.values().forEach(Upstream::connect);
+        owed.start();
+    }
+
+    /** Sessions whose ends their servers are still to be told. */
+    int owed() {
+        return owed.counts().unsent() + owed.counts().spent();
     }
 
     /** Takes leave of every peer. */
@@ -188,7 +201,7 @@
         avps.add(Avp.text(Avp.DESTINATION_HOST, leg.at.peer.host()));
         avps.add(Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ));
         avps.add(Avp.unsigned(Avp.TERMINATION_CAUSE, cause));
-        leg.at.owe(new DiameterMessage(REQUEST | PROXIABLE, SESSION_TERMINATION, NASREQ, 0, nextEndToEnd++, avps));
+        owed.owe(new Owed(leg.at, leg.session), new DiameterMessage(REQUEST | PROXIABLE, SESSION_TERMINATION, NASREQ, 0, nextEndToEnd++, avps), null);
     }
 
     /** The server ends a session: it is told so, gets its STR, and the client is told. */
@@ -209,7 +222,6 @@
     private final class Upstream implements Connection.Owner, Watchdog.Peer {
         final DiameterConfig.Peer peer;
         final Watchdog watchdog;
-        final ArrayDeque<DiameterMessage> owed = new ArrayDeque<>();
         Connection connection;
         boolean draining;
         long launchedUs;
@@ -233,15 +245,6 @@
                 .onFailure(e -> timers.after(config.reconnectUs(), this::connect));
         }
 
-        /** Sends what must arrive, on the next connection where there is none now. */
-        void owe(DiameterMessage m) {
-            if (isOpen()) {
-                connection.request(m, answer -> { });
-            } else if (owed.size() < MOST_OWED) {
-                owed.add(m);
-            }
-        }
-
         @Override
         public boolean admits(String asked) {
             return asked.equals(peer.host());
@@ -250,10 +253,8 @@
         @Override
         public void open(Connection c) {
             draining = false;
-            for (DiameterMessage m = owed.poll(); m != null; m = owed.poll()) {
-                c.request(m, answer -> { });
-            }
             started(c);
+            owed.found(c);
             watchdog.up();
         }
 
@@ -264,6 +265,7 @@
             if (anew) {
                 launchedUs = clock.nowUs();
                 legs.values().removeIf(leg -> leg.at == this && bySession.remove(leg.session, leg));
+                owed.forgetIf(o -> o.at == this);
                 tell(Scope.COMPLETE, Map.of(peer.host(), launchedUs));
             }
         }
@@ -292,6 +294,7 @@
         public void closed(Connection c) {
             watchdog.down();
             draining = true;
+            owed.lost(c);
             tell(Scope.COMPLETE, Map.of());
             timers.after(config.reconnectUs(), this::connect);
         }
@@ -317,5 +320,31 @@
         }
     }
 
+    /** The end of one session at one server. */
+    private record Owed(Upstream at, String session) { }
+
+    /** A session's end is told to its own server alone. */
+    private final class ToPeers implements Ways<Owed, DiameterMessage, Connection> {
+        @Override
+        public Connection best(Owed key, Connection but) {
+            return key.at.isOpen() && key.at.connection != but ? key.at.connection : null;
+        }
+
+        @Override
+        public int rank(Connection way) {
+            return way.isOpen() ? 0 : -1;
+        }
+
+        @Override
+        public void write(Owed key, DiameterMessage str, Connection way, boolean again) {
+            // Its answer settles it, whatever it says: a session that is not known is ended too.
+            way.request(again ? str.with(str.flags() | RETRANSMITTED, 0, str.avps()) : str, answer -> {
+                if (answer != null) {
+                    owed.told(key);
+                }
+            });
+        }
+    }
+
     private record Leg(long call, int copy, Upstream at, String session) { }
 }
--- /dev/null
+++ b/src/main/java/grebewick/lab/StandInCallers.java
@@ -0,0 +1,157 @@
+package grebewick.lab;
+
+import grebewick.sip.SipCodec;
+import grebewick.sip.SipMessage;
+import grebewick.sip.SipMessage.Header;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Callers over SIP on a few connections: they ask at given moments whatever comes back, give up at their deadline, and
+ * confirm each BYE. Counts by outcome; an answer's time counts from when its INVITE was meant to leave.
+ */
+public final class StandInCallers {
+    private final Vertx vertx;
+    private final String tier;
+    private final long deadlineMs;
+    private final List<NetSocket> sockets = new ArrayList<>();
+    private final Map<Long, Long> asked = new HashMap<>();
+    private final Map<Long, Long> stood = new HashMap<>();
+    private final Map<String, Integer> counts = new java.util.TreeMap<>();
+    private final List<Long> answerUs = new ArrayList<>();
+    private final Map<Long, Long> overUs = new HashMap<>();
+    private NetClient client;
+    private long next = 1;
+
+    /** Callers of one class, each of whom waits so long. */
+    public StandInCallers(Vertx vertx, String tier, long deadlineMs) {
+        this.vertx = vertx;
+        this.tier = tier;
+        this.deadlineMs = deadlineMs;
+    }
+
+    /** Opens so many connections; a lost one is opened again. */
+    public Future<Void> connect(int port, int connections) {
+        client = client == null ? vertx.createNetClient() : client;
+        Future<Void> all = Future.succeededFuture();
+        for (int i = 0; i < connections; i++) {
+            all = all.compose(v -> one(port));
+        }
+        return all;
+    }
+
+    private Future<Void> one(int port) {
+        return client.connect(port, "127.0.0.1").map(socket -> {
+            SipCodec codec = new SipCodec();
+            sockets.add(socket);
+            socket.handler(bytes -> codec.read(bytes, m -> take(socket, m)));
+            socket.exceptionHandler(e -> socket.close());
+            socket.closeHandler(v -> sockets.remove(socket));
+            socket.write(SipCodec.encode(SipMessage.request("OPTIONS", "sip:ping@net", new Header("Call-ID", hex(0)),
+                new Header("CSeq", "1 OPTIONS"))));
+            return null;
+        });
+    }
+
+    /** One call to a server group, now; it was meant for {@code meantUs}. */
+    public void call(int group, long meantUs) {
+        if (sockets.isEmpty()) {
+            count("no connection");
+            return;
+        }
+        long id = next++;
+        NetSocket on = sockets.get((int) (id % sockets.size()));
+        asked.put(id, meantUs);
+        SipMessage bare = SipMessage.request("INVITE", "sip:" + hex(id * 7919) + "@net", new Header("Via", "SIP/2.0/TCP peer"),
+            new Header("Call-ID", hex(id)), new Header("CSeq", "1 INVITE"), new Header("X-Tier", tier),
+            new Header("X-Deadline", Long.toString(deadlineMs)), new Header("X-Attrs", "dest:" + group + ";width:1;via:-1"));
+        byte[] body = (hex(id) + "\r\nc=IN IP4 127.0.0.1\r\n").getBytes(StandardCharsets.US_ASCII);
+        on.write(SipCodec.encode(new SipMessage(bare.method(), bare.uri(), 0, "", bare.headers(), body)));
+        vertx.setTimer(deadlineMs, t -> {
+            if (asked.remove(id) != null) {
+                count("gave up");
+                write(on, SipMessage.request("CANCEL", bare.uri(), new Header("Call-ID", hex(id)), new Header("CSeq", "1 CANCEL")));
+            }
+        });
+    }
+
+    /** A caller ends a call of its own that stands; false: none does. */
+    public boolean hangUp() {
+        if (stood.isEmpty() || sockets.isEmpty()) {
+            return false;
+        }
+        long id = stood.keySet().iterator().next();
+        stood.remove(id);
+        write(sockets.get(0), SipMessage.request("BYE", "sip:peer@net", new Header("Call-ID", hex(id)),
+            new Header("CSeq", "2 BYE"), new Header("Reason", "Q.850;cause=16")));
+        return true;
+    }
+
+    private void take(NetSocket on, SipMessage m) {
+        long id = Long.parseUnsignedLong(m.header("Call-ID", "0"), 16);
+        long nowUs = System.nanoTime() / 1000;
+        if (m.isRequest()) {
+            // A BYE: the call is over.
+            boolean known = stood.remove(id) != null;
+            count(known ? "ended" : "ended again");
+            if (known) {
+                overUs.put(id, nowUs);
+            }
+            write(on, m.response(200, "OK"));
+        } else if (m.method().equals("INVITE") && m.status() >= 200) {
+            Long sinceUs = asked.remove(id);
+            if (sinceUs == null) {
+                count("late " + m.status());
+                return;
+            }
+            count(Integer.toString(m.status()));
+            answerUs.add(nowUs - sinceUs);
+            if (m.status() == 200) {
+                stood.put(id, nowUs);
+            }
+        } else if (!m.method().equals("INVITE")) {
+            count(m.method() + " " + m.status());
+        }
+    }
+
+    private static void write(NetSocket on, SipMessage m) {
+        Buffer bytes = SipCodec.encode(m);
+        on.write(bytes);
+    }
+
+    private static String hex(long id) {
+        return String.format("%016x", id);
+    }
+
+    private void count(String what) {
+        counts.merge(what, 1, Integer::sum);
+    }
+
+    /** Outcomes by name. */
+    public Map<String, Integer> counts() {
+        return counts;
+    }
+
+    /** us from when each call was meant to leave to its answer, in no order. */
+    public List<Long> answerUs() {
+        return answerUs;
+    }
+
+    /** By call: the moment at which its caller heard that it is over. */
+    public Map<Long, Long> overUs() {
+        return overUs;
+    }
+
+    /** Calls that stand, as far as the callers know. */
+    public int standing() {
+        return stood.size();
+    }
+}
--- a/src/main/java/grebewick/names/FleetPoller.java
+++ b/src/main/java/grebewick/names/FleetPoller.java
@@ -5,6 +5,7 @@
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Stage;
 import grebewick.core.Timers;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
@@ -92,6 +93,11 @@
         poll();
     }
 
+    /** Asks no more. */
+    public Future<Void> close() {
+        return socket == null ? Future.succeededFuture() : socket.close();
+    }
+
     /** From now on asks at another address; the numbers carry on, and the old address is no longer heard. */
     public void move(Address to) {
         if (!to.equals(server)) {
--- /dev/null
+++ b/src/main/java/grebewick/owed/Ways.java
@@ -0,0 +1,19 @@
+package grebewick.owed;
+
+/**
+ * Port to the connections that an end may be told on.
+ *
+ * @param <K> what names an end, such as a call's or a session's id
+ * @param <M> the message that tells it
+ * @param <W> a connection; compared by identity
+ */
+public interface Ways<K, M, W> {
+    /** Where the end is most likely to be heard, {@code but} left out (null: none left out); null: nowhere now. */
+    W best(K key, W but);
+
+    /** How likely it is that the right party listens there; more is better, negative: it is closed. */
+    int rank(W way);
+
+    /** Writes the message. {@code again}: it went out before, and may arrive twice. */
+    void write(K key, M message, W way, boolean again);
+}
--- a/src/main/java/grebewick/peers/PeerLink.java
+++ b/src/main/java/grebewick/peers/PeerLink.java
@@ -34,6 +34,11 @@
         return socket.listen(at.port(), at.host());
     }
 
+    /** Closes the socket. */
+    public Future<Void> close() {
+        return socket.close();
+    }
+
     /** Sends to one gatekeeper, or to all where {@code peer} is negative. */
     public void send(int peer, byte[] bytes) {
         Address to = peer < 0 ? all : peer < peers.size() ? peers.get(peer) : null;
--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -62,6 +62,11 @@
         socket.write(bytes).onComplete(done -> unread -= bytes.length());
     }
 
+    /** Bytes that were sent and the network has not taken. */
+    int unread() {
+        return unread;
+    }
+
     void close() {
         closed = true;
         socket.close();
--- a/src/main/java/grebewick/sip/CallerLines.java
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -1,5 +1,6 @@
 package grebewick.sip;
 
+import grebewick.owed.Ways;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -9,7 +10,7 @@
  * All connections from callers. Guards the descriptors against those who open connections and say nothing, or ask
  * once and stay: the servers' connections and the usual callers' need theirs.
  */
-final class CallerLines {
+final class CallerLines implements Ways<Long, SipMessage, CallerLine> {
     /** us. In which a new connection has to say something whole, and a message that has begun has to end. */
     static final long WORD_US = 1_800_000;
     /** us. Usual callers close a connection that is idle for 4 s; one that stays for longer is of no use. */
@@ -59,8 +60,9 @@
         return line != null && !line.closed && all.contains(line);
     }
 
-    /** Where a caller is most likely to be heard: by rank, then the last one heard. */
-    CallerLine best(CallerLine but) {
+    /** Where a caller is most likely to be heard: by rank, then the last one heard. Any caller takes any call's end. */
+    @Override
+    public CallerLine best(Long call, CallerLine but) {
         CallerLine best = null;
         for (CallerLine line : all) {
             if (line != but && line.spoke && !line.closed && (best == null || line.rank() > best.rank()
@@ -71,6 +73,24 @@
         return best;
     }
 
+    @Override
+    public int rank(CallerLine line) {
+        return has(line) ? line.rank() : -1;
+    }
+
+    @Override
+    public void write(Long call, SipMessage bye, CallerLine line, boolean again) {
+        line.write(bye);
+    }
+
+    long unwritten() {
+        long sum = 0;
+        for (CallerLine line : all) {
+            sum += line.unread();
+        }
+        return sum;
+    }
+
     /** Closes what has been silent, half said or idle for too long. */
     void sweep(long nowUs) {
         for (CallerLine line : List.copyOf(all)) {
--- a/src/main/java/grebewick/sip/SipCodec.java
+++ b/src/main/java/grebewick/sip/SipCodec.java
@@ -4,16 +4,18 @@
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
 
 /** Cuts a connection's bytes into SIP messages (RFC 3261 over a stream), and writes them. One a connection. */
-final class SipCodec {
+public final class SipCodec {
     static final int MOST = 16 * 1024;
+    private static final byte[] NONE = {};
     private Buffer held = Buffer.buffer();
 
     /** Takes what was read and hands out every whole message; throws where the bytes are not SIP. */
-    void read(Buffer bytes, Consumer<SipMessage> each) {
+    public void read(Buffer bytes, Consumer<SipMessage> each) {
         byte[] all = (held.length() == 0 ? bytes : held.appendBuffer(bytes)).getBytes();
         int from = 0;
         while (true) {
@@ -38,13 +40,14 @@
             if (all.length - bodyAt < length) {
                 break;
             }
-            byte[] body = java.util.Arrays.copyOfRange(all, bodyAt, bodyAt + length);
+            byte[] body = length == 0 ? NONE : Arrays.copyOfRange(all, bodyAt, bodyAt + length);
             from = bodyAt + length;
             each.accept(new SipMessage(head.method(), head.uri(), head.status(), head.reason(), head.headers(), body));
         }
-        held = Buffer.buffer();
         if (from < all.length) {
-            held.appendBytes(all, from, all.length - from);
+            held = Buffer.buffer().appendBytes(all, from, all.length - from);
+        } else if (held.length() > 0) {
+            held = Buffer.buffer();
         }
     }
 
@@ -63,29 +66,38 @@
     }
 
     private static SipMessage head(String text) {
-        String[] lines = text.split("\r\n");
-        String[] first = lines[0].split(" ", 3);
-        if (first.length < 3) {
+        int end = lineEnd(text, 0);
+        int space = text.indexOf(' ');
+        int second = space < 0 ? -1 : text.indexOf(' ', space + 1);
+        if (second < 0 || second > end) {
             throw new IllegalArgumentException("a first line that is not SIP's");
         }
-        List<Header> headers = new ArrayList<>();
-        for (int i = 1; i < lines.length; i++) {
-            int colon = lines[i].indexOf(':');
-            if (colon <= 0) {
+        String first = text.substring(0, space);
+        String middle = text.substring(space + 1, second);
+        String last = text.substring(second + 1, end);
+        List<Header> headers = new ArrayList<>(12);
+        for (int at = end + 2; at < text.length(); at = end + 2) {
+            end = lineEnd(text, at);
+            int colon = text.indexOf(':', at);
+            if (colon <= at || colon >= end) {
                 throw new IllegalArgumentException("a header without a colon");
             }
-            headers.add(new Header(lines[i].substring(0, colon).trim(), lines[i].substring(colon + 1).trim()));
+            headers.add(new Header(text.substring(at, colon).trim(), text.substring(colon + 1, end).trim()));
         }
-        if (first[0].equals("SIP/2.0")) {
-            SipMessage bare = new SipMessage("", "", Integer.parseInt(first[1]), first[2], headers, new byte[0]);
+        if (first.equals("SIP/2.0")) {
+            SipMessage bare = new SipMessage("", "", Integer.parseInt(middle), last, headers, NONE);
             String cseq = bare.header("CSeq", "");
-            return new SipMessage(cseq.substring(cseq.lastIndexOf(' ') + 1), "", bare.status(), first[2], headers,
-                new byte[0]);
+            return new SipMessage(cseq.substring(cseq.lastIndexOf(' ') + 1), "", bare.status(), last, headers, NONE);
         }
-        if (!first[2].equals("SIP/2.0")) {
+        if (!last.equals("SIP/2.0")) {
             throw new IllegalArgumentException("a first line that is not SIP's");
         }
-        return new SipMessage(first[0], first[1], 0, "", headers, new byte[0]);
+        return new SipMessage(first, middle, 0, "", headers, NONE);
+    }
+
+    private static int lineEnd(String text, int from) {
+        int end = text.indexOf("\r\n", from);
+        return end < 0 ? text.length() : end;
     }
 
     private static int contentLength(SipMessage m) {
@@ -94,18 +106,22 @@
             throw new IllegalArgumentException("a message without Content-Length");
         }
         for (Header h : m.headers()) {
-            if ((h.name().equalsIgnoreCase("Content-Length") || h.name().equals("l")) && !h.value().equals(value)) {
+            if ((h.name().equals("l") || h.name().equalsIgnoreCase("Content-Length")) && !h.value().equals(value)) {
                 throw new IllegalArgumentException("two lengths");
             }
         }
-        if (value.isEmpty() || !value.chars().allMatch(c -> c >= '0' && c <= '9')) {
+        boolean digits = !value.isEmpty();
+        for (int i = 0; i < value.length(); i++) {
+            digits &= value.charAt(i) >= '0' && value.charAt(i) <= '9';
+        }
+        if (!digits) {
             throw new IllegalArgumentException("a Content-Length that is no number");
         }
         // More digits than that are more than any message may have, if they aren't zeros.
         return value.length() > 9 ? Integer.MAX_VALUE : Integer.parseInt(value);
     }
 
-    static Buffer encode(SipMessage m) {
+    public static Buffer encode(SipMessage m) {
         StringBuilder head = new StringBuilder(256);
         if (m.isRequest()) {
             head.append(m.method()).append(' ').append(m.uri()).append(" SIP/2.0\r\n");
@@ -116,7 +132,13 @@
             head.append(h.name()).append(": ").append(oneLine(h.value())).append("\r\n");
         }
         head.append("Content-Length: ").append(m.body().length).append("\r\n\r\n");
-        return Buffer.buffer(head.toString()).appendBytes(m.body());
+        byte[] text = head.toString().getBytes(StandardCharsets.UTF_8);
+        if (m.body().length == 0) {
+            return Buffer.buffer(text);
+        }
+        byte[] all = Arrays.copyOf(text, text.length + m.body().length);
+        System.arraycopy(m.body(), 0, all, text.length, m.body().length);
+        return Buffer.buffer(all);
     }
 
     /** Guards against header lines smuggled in by a value. */
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -8,6 +8,9 @@
 import grebewick.core.Offer;
 import grebewick.core.Timers;
 import grebewick.config.Address;
+import grebewick.owed.Counts;
+import grebewick.owed.Policy;
+import grebewick.owed.Teller;
 import grebewick.sip.SipMessage.Header;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -17,7 +20,6 @@
 import io.vertx.core.net.NetSocket;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -27,10 +29,11 @@
 public final class SipFront {
     /** s. What a refused caller is told where the module gives no advice. */
     private static final long COME_BACK_S = 1;
-    /** us. After this a BYE that was written and brought no answer has arrived or never will. */
-    private static final long BYE_US = 5_000_000;
-    /** us. How long a BYE waits for a connection from callers. */
-    private static final long OWED_US = 60_000_000;
+    /**
+     * BYEs without an answer: again elsewhere after 0.3 s, three times at most; what was written has arrived within
+     * 5 s or never will; one waits for a connection from callers for 60 s.
+     */
+    private static final Policy BYES = new Policy(300_000, 3, 5_000_000, 60_000_000, 20_000);
     private static final long SWEEP_US = 250_000;
     /** Part of the descriptors that callers' connections may take: the usual ones take a third at the most. */
     private static final double CALLERS_PART = 0.5;
@@ -39,10 +42,6 @@
     private static final int MOST_OPEN_UNPROVEN = 16;
     /** Useless requests in a row after which a connection is closed: bad ones, failed ones, ones just withdrawn. */
     private static final int MOST_USELESS = 8;
-    private static final int MOST_BYES = 20_000;
-    /** us. After which a BYE without an answer goes out once more, elsewhere, and how often it goes out so. */
-    private static final long AGAIN_US = 300_000;
-    private static final int MOST_TRIES = 3;
 
     private final Vertx vertx;
     private final Gatekeeper<byte[]> core;
@@ -50,18 +49,21 @@
     private final Timers timers;
     private final Consumer<String> log;
     private final Map<Long, Session> sessions = new HashMap<>();
-    private final Map<Long, Bye> byes = new LinkedHashMap<>();
     private final CallerLines lines;
+    private final Teller<Long, SipMessage, CallerLine> byes;
     private final OfferReader offers;
     private LongPredicate strays = id -> false;
     private boolean testsPass = true;
     private boolean takesCalls = true;
+    private NetServer server;
     private int bad;
+    private long taken;
 
     /** Makes the front of a core; {@code sockets} are the descriptors that the process may have. */
     public SipFront(Vertx vertx, Settings set, int sockets, Gatekeeper<byte[]> core, Clock clock, Timers timers,
                     Consumer<String> log) {
         lines = new CallerLines(mostLines(sockets));
+        byes = new Teller<>(BYES, lines, clock, timers, SWEEP_US);
         offers = new OfferReader(set);
         this.vertx = vertx;
         this.core = core;
@@ -78,8 +80,14 @@
     /** Listens; ready once the result is there. */
     public Future<NetServer> listen(Address address) {
         timers.after(SWEEP_US, this::sweep);
+        byes.start();
         return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(1024))
-            .connectHandler(this::accept).listen(address.port(), address.host());
+            .connectHandler(this::accept).listen(address.port(), address.host()).onSuccess(s -> server = s);
+    }
+
+    /** Closes the listener and all connections. */
+    public Future<Void> close() {
+        return server == null ? Future.succeededFuture() : server.close();
     }
 
     /** Who may know a call that has no session here; says whether its release was passed on. */
@@ -117,6 +125,7 @@
         try {
             line.codec.read(bytes, message -> {
                 if (!line.closed) {
+                    taken++;
                     line.heardUs = clock.nowUs();
                     take(line, message);
                 }
@@ -146,11 +155,7 @@
         }
         line.open.clear();
         // Guards against a BYE lost in a connection that its caller was just closing.
-        for (Bye bye : List.copyOf(byes.values())) {
-            if (bye.on == line) {
-                send(bye, lines.best(line));
-            }
-        }
+        byes.lost(line);
     }
 
     private void take(CallerLine on, SipMessage m) {
@@ -173,33 +178,20 @@
         }
     }
 
-    /** It has said something of use: what is owed to any caller may go there. */
+    /** It has said something of use: what is owed may go there, and goes there from who is less likely a caller. */
     private void spoke(CallerLine on) {
         if (!on.spoke) {
             on.spoke = true;
-            rises(on);
-        }
-    }
-
-    /** Guards against a BYE left with a stranger: what is not answered yet goes to who is more likely a caller. */
-    private void rises(CallerLine on) {
-        for (Bye bye : List.copyOf(byes.values())) {
-            if (bye.on == null || bye.on.rank() < on.rank()) {
-                send(bye, on);
-            }
+            byes.found(on);
         }
     }
 
     /** Guards against a BYE that went to a stranger: it is not over before a caller has said that it knows the call. */
     private void heard(CallerLine on, SipMessage m) {
-        Bye bye = byes.get(id(m));
-        if (bye == null || m.status() < 200) {
-            return;
-        }
-        if (m.status() < 300) {
-            byes.remove(id(m));
-        } else if (bye.on == on && ++bye.refused < 3) {
-            send(bye, lines.best(on));
+        if (m.status() >= 300) {
+            byes.denied(id(m), on);
+        } else if (m.status() >= 200) {
+            byes.told(id(m));
         }
     }
 
@@ -241,10 +233,12 @@
             }
             return;
         }
+        // What is over goes before what is new.
+        byes.first();
         spoke(on);
         if (!on.asked) {
             on.asked = true;
-            rises(on);
+            byes.found(on);
         }
         Session session = new Session(id, on, m, offer.leftUs());
         on.open.add(session);
@@ -283,49 +277,29 @@
     }
 
     private void release(long id, String callId, Ending ending, CallerLine on) {
-        Bye bye = new Bye(SipMessage.request("BYE", "sip:peer@net", new Header("Via", "SIP/2.0/TCP gatekeeper"),
+        byes.owe(id, SipMessage.request("BYE", "sip:peer@net", new Header("Via", "SIP/2.0/TCP gatekeeper"),
             new Header("Call-ID", callId), new Header("CSeq", "1 BYE"),
-            new Header("Reason", "Q.850;cause=" + (ending == Ending.CUT ? 41 : 16))), clock.nowUs());
-        if (byes.size() < MOST_BYES) {
-            byes.put(id, bye);
-        }
-        send(bye, lines.has(on) ? on : lines.best(null));
+            new Header("Reason", "Q.850;cause=" + (ending == Ending.CUT ? 41 : 16))), on);
     }
 
-    private void send(Bye bye, CallerLine on) {
-        bye.on = on;
-        if (on != null) {
-            bye.sentUs = clock.nowUs();
-            bye.tries++;
-            on.write(bye.message);
-        }
+    /** BYEs that are owed, and what became of those before. */
+    public Counts owed() {
+        return byes.counts();
     }
 
-    private void sweep() {
-        timers.after(SWEEP_US, this::sweep);
-        long now = clock.nowUs();
-        for (Bye bye : List.copyOf(byes.values())) {
-            if (bye.on != null && now - bye.sentUs >= AGAIN_US && bye.tries < MOST_TRIES) {
-                // Callers answer at once; who does not may be none.
-                CallerLine other = lines.best(bye.on);
-                send(bye, other == null ? bye.on : other);
-            }
-        }
-        byes.values().removeIf(bye -> now - bye.sentUs > (bye.on != null ? BYE_US : OWED_US));
-        lines.sweep(now);
+    /** Bytes that callers were sent and the network has not taken. */
+    public long unwritten() {
+        return lines.unwritten();
     }
 
-    private static final class Bye {
-        final SipMessage message;
-        CallerLine on;
-        long sentUs;
-        int refused;
-        int tries;
+    /** Messages from callers since the start. */
+    public long taken() {
+        return taken;
+    }
 
-        Bye(SipMessage message, long sentUs) {
-            this.message = message;
-            this.sentUs = sentUs;
-        }
+    private void sweep() {
+        timers.after(SWEEP_US, this::sweep);
+        lines.sweep(clock.nowUs());
     }
 
     /** One call on this side. */
@@ -364,7 +338,7 @@
             on.write(invite.response(200, "OK", description));
             if (!on.proven) {
                 on.proven = true;
-                rises(on);
+                byes.found(on);
             }
         }
 
--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -287,6 +287,15 @@
         link.socket.write(TrunkCodec.encode(message));
     }
 
+    /** Releases that wait for a connection. */
+    int owed() {
+        return owed.size();
+    }
+
+    long unwritten() {
+        return links.stream().mapToLong(Link::unwritten).sum();
+    }
+
     /** Closes what stopped in the middle of a message, and what is not needed. */
     void sweep(long nowUs) {
         for (Link link : List.copyOf(links)) {
--- a/src/main/java/grebewick/trunk/Link.java
+++ b/src/main/java/grebewick/trunk/Link.java
@@ -1,5 +1,6 @@
 package grebewick.trunk;
 
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
@@ -35,6 +36,12 @@
         usedUs = nowUs;
     }
 
+    /** Bytes that were sent and the network has not taken. */
+    long unwritten() {
+        ChannelOutboundBuffer waiting = ((NetSocketInternal) socket).channelHandlerContext().channel().unsafe().outboundBuffer();
+        return waiting == null ? 0 : waiting.totalPendingWriteBytes();
+    }
+
     /** Ends this direction alone; what comes in the other is still read. */
     void shutdownOutput() {
         if (((NetSocketInternal) socket).channelHandlerContext().channel() instanceof DuplexChannel channel) {
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -11,6 +11,7 @@
 import grebewick.core.Offer;
 import grebewick.core.Servers;
 import grebewick.core.Timers;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
@@ -55,6 +56,7 @@
     private BiConsumer<Long, Ending> strays = (id, ending) -> { };
     private Gatekeeper<byte[]> core;
     private long nextProbe = 1;
+    private long taken;
 
     /** Makes the trunk side; {@link #attach} gives it its core before anything is listed. */
     public Trunk(Vertx vertx, Settings set, Clock clock, Timers timers, Consumer<String> log) {
@@ -89,6 +91,26 @@
         return true;
     }
 
+    /** Messages that wait for a connection to their server. */
+    public int owed() {
+        return lines.values().stream().mapToInt(Line::owed).sum();
+    }
+
+    /** Bytes that servers were sent and the network has not taken. */
+    public long unwritten() {
+        return lines.values().stream().mapToLong(Line::unwritten).sum();
+    }
+
+    /** Messages from servers since the start. */
+    public long taken() {
+        return taken;
+    }
+
+    /** Closes all connections. */
+    public Future<Void> close() {
+        return client.close();
+    }
+
     /** Names the core that is told what happens. */
     public void attach(Gatekeeper<byte[]> gatekeeper) {
         core = gatekeeper;
@@ -250,6 +272,7 @@
 
     @Override
     public void message(Line line, Link on, TrunkMessage m) {
+        taken++;
         switch (m.type()) {
             case ANSWER -> answer(line, on, m);
             case RELEASE -> {
--- a/src/main/java/grebewick/trunk/TrunkCodec.java
+++ b/src/main/java/grebewick/trunk/TrunkCodec.java
@@ -2,12 +2,12 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Set;
+import java.util.BitSet;
 import java.util.function.Consumer;
 
 /** Cuts a connection's bytes into messages, and writes messages. One instance a connection. */
-final class TrunkCodec {
-    static final int MOST = 16 * 1024;
+public final class TrunkCodec {
+    public static final int MOST = 16 * 1024;
     private static final int HEAD = 9;
     private static final int TIER = 180;
     private static final int WAIT = 182;
@@ -17,13 +17,19 @@
     private static final int CAUSE = 208;
     private static final int DESCRIPTION = 210;
 
-    private static final Set<Integer> TYPES = Set.of(TrunkMessage.SET_UP, TrunkMessage.PROGRESS, TrunkMessage.ANSWER,
-        TrunkMessage.RELEASE, TrunkMessage.RELEASED, TrunkMessage.GROUP_STATE, TrunkMessage.TEST, TrunkMessage.TESTED);
+    private static final BitSet TYPES = new BitSet();
+
+    static {
+        for (int type : new int[] {TrunkMessage.SET_UP, TrunkMessage.PROGRESS, TrunkMessage.ANSWER, TrunkMessage.RELEASE,
+            TrunkMessage.RELEASED, TrunkMessage.GROUP_STATE, TrunkMessage.TEST, TrunkMessage.TESTED}) {
+            TYPES.set(type);
+        }
+    }
 
     private Buffer held = Buffer.buffer();
 
     /** Takes what was read and hands out every whole message; throws where the bytes are none of the protocol's. */
-    void read(Buffer bytes, Consumer<TrunkMessage> each) {
+    public void read(Buffer bytes, Consumer<TrunkMessage> each) {
         Buffer all = held.length() == 0 ? bytes : held.appendBuffer(bytes);
         int from = 0;
         while (all.length() - from >= 2) {
@@ -38,7 +44,11 @@
             from += 2 + length;
             each.accept(message);
         }
-        held = from == all.length() ? Buffer.buffer() : all.getBuffer(from, all.length());
+        if (from < all.length()) {
+            held = all.getBuffer(from, all.length());
+        } else if (held.length() > 0) {
+            held = Buffer.buffer();
+        }
     }
 
     /** Whether a message has begun and is not whole yet. */
@@ -48,7 +58,7 @@
 
     private static TrunkMessage decode(Buffer b, int from, int end) {
         int type = b.getUnsignedByte(from);
-        if (!TYPES.contains(type)) {
+        if (!TYPES.get(type)) {
             // Guards against noise that by chance has a length: what follows it is noise too.
             throw new IllegalArgumentException("type " + type);
         }
@@ -90,10 +100,10 @@
     }
 
     private static String text(Buffer b, int from, int to) {
-        return b.getString(from, to, StandardCharsets.UTF_8.name());
+        return from == to ? "" : new String(b.getBytes(from, to), StandardCharsets.UTF_8);
     }
 
-    static Buffer encode(TrunkMessage m) {
+    public static Buffer encode(TrunkMessage m) {
         Buffer b = Buffer.buffer(64 + m.description().length).appendUnsignedShort(0).appendUnsignedByte((short) m.type())
             .appendLong(m.call());
         text(b, TIER, m.tier());
--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -154,4 +154,33 @@
 
     @Override
     public void closeIdle(String server) { }
+
+    /** Guards set-ups against a burst of ends: no turn ends more than a slice of them, and what is new comes between. */
+    @Test
+    void fiveHundredCutCallsAreEndedInSlicesBeforeWhatIsNew() {
+        call();
+        for (int i = 0; i < 500; i++) {
+            long c = core.offer(new Offer<>(i, "a", "55", 3_000_000, false, false, 1, 0, -1, "offer"), this);
+            acts(new Attempt(c, "s1", 0));
+            assertThat(core.stood(c, 0, "desc", List.of())).isTrue();
+        }
+        happened.clear();
+        core.died("s1");
+        int first = ended();
+        assertThat(first).isBetween(1, 50);
+        core.offer(new Offer<>(501, "a", "55", 3_000_000, false, false, 1, 0, -1, "offer"), this);
+        assertThat(ended() - first).as("a slice goes before a new call").isBetween(1, 50);
+        int turns = 0;
+        for (int before = ended(); before < 500; before = ended(), turns++) {
+            clock.pass(1_000);
+            assertThat(ended() - before).isBetween(1, 50);
+        }
+        assertThat(turns).isLessThan(30);
+        clock.pass(100_000);
+        assertThat(ended()).as("each once").isEqualTo(500);
+    }
+
+    private int ended() {
+        return (int) happened.stream().filter(h -> h.startsWith("released")).count();
+    }
 }
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -282,4 +282,46 @@
             p1 has no more
             p2 has no more""");
     }
+
+    /** Guards sessions against an STR that is lost with its connection: it is sent until its answer has come. */
+    @Test
+    void anStrWithoutItsAnswerGoesOutAgainOnTheNextConnection() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > AAA s 2001
+            c < AAA s 2001
+            c > STR s
+            c < STA s 2001
+            p1 < STR s
+            p1 closes""");
+        assertThat(s.on(() -> node.owed())).isEqualTo(1);
+        s.play("""
+            wait 1000
+            p1 < CER
+            p1 > CEA
+            p1 < STR s T
+            p1 > STA s""").until(() -> node.owed() == 0);
+    }
+
+    /** Guards clients against sessions that ended while they were away. */
+    @Test
+    void aClientThatComesBackIsToldOfTheEndOfItsSession() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > AAA s 2001
+            c < AAA s 2001
+            c closes
+            p1 > ASR s
+            p1 < ASA s 2001
+            p1 < STR s
+            p1 > STA s
+            c > CER
+            c < CEA 2001
+            c < ASR s
+            c > ASA s
+            c > STR s
+            c < STA s 2001""").until(() -> node.owed() == 0);
+    }
 }
