--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 build:            ## the jar, with its libraries in target/lib, and the archive of loaded classes for quick starts
 	mvn -B -ntp -q -DskipTests package
-	-java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xlog:cds=off -Xlog:cds+dynamic=off -XX:ArchiveClassesAtExit=target/grebewick.jsa -jar target/grebewick.jar rehearse
+	-java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.jfr.enabled=false -Xlog:cds=off -Xlog:cds+dynamic=off -XX:ArchiveClassesAtExit=target/grebewick.jsa -jar target/grebewick.jar rehearse
 
 test:             ## all tests, no bench needed
 	mvn -B -ntp verify
