Take no sample of a server from a set-up that was out while the gatekeeper stood still

The module ignored such delays only in the very turn after a pause; on sockets each answer that came in meanwhile is read in a turn of its own, and its wait counted as the server's: an overload, a limit of one, up to 5 s.

Change: four lines of Logic: onStarted takes no sample of a set-up sent before the last pause ended, and the age of the oldest one counts from there.

The new test fails without the change.

--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -66,7 +66,7 @@
     private long intervalFromUs;
     private long intervalEndUs;
     private long askUs;
-    /** Time of the turn that found what came while this gateway stood still. */
+    /** When this gateway last stood still until: what was out then tells nothing of its server. */
     private long backlogUs = Long.MIN_VALUE;
     /** How long before its end a try comes in, as last seen twice in a row; 0: not known. */
     private long tryUs;
@@ -179,7 +179,7 @@
                 out.accept(new Observe(true));
             }
             for (Server s : servers.values()) {
-                if (s.oldestAgeUs() > s.targetUs() && nowUs != backlogUs) {
+                if (s.oldestAgeUs() > s.targetUs()) {
                     overload(s);
                 }
             }
@@ -270,7 +270,7 @@
         s.stoodSentUs = Math.max(s.stoodSentUs, o.sentUs);
         s.faults = Math.max(0, s.faults - 0.5);
         s.barUs = s.faults == 0 ? tdUs : s.barUs;
-        if (nowUs != backlogUs) {
+        if (o.sentUs >= backlogUs) {
             s.sample(nowUs - o.sentUs);
             if (nowUs - o.sentUs > s.targetUs() && !s.overtaken(o.sentUs)) {
                 overload(s);
@@ -902,7 +902,7 @@
         long oldestAgeUs() {
             for (long sent : open.values()) {
                 if (!overtaken(sent)) {
-                    return nowUs - sent;
+                    return nowUs - Math.max(sent, backlogUs);
                 }
             }
             return 0;
--- a/src/test/java/grebewick/core/LogicTest.java
+++ b/src/test/java/grebewick/core/LogicTest.java
@@ -65,6 +65,25 @@
         rig.open("s0", 0, 4);
     }
 
+    /**
+     * Guards servers at ease against this gateway's own pauses, as after each start: an answer that came while it stood
+     * still is read in a later turn, and the wait until then is not its server's.
+     */
+    @Test
+    void whatWasOutWhileTheGatewayStoodStillStartsNoControl() {
+        Rig rig = two();
+        List<Attempt> open = rig.open("s0", 0, 4);
+        rig.nowUs += 2 * SECOND;
+        rig.feed(new Checked(State.OK, "s1", 0, List.of()));
+        rig.pass(SECOND / 100);
+        open.forEach(rig::stands);
+        rig.pass(SECOND / 10);
+        rig.open("s0", 0, 8);
+        rig.pass(SECOND + SECOND / 5);
+        rig.offer(0);
+        assertEquals(12, rig.attempts("s0"), "a wait after the pause counts: no thirteenth");
+    }
+
     @Test
     void controlStartsOnALongWaitAndEndsAfterACleanInterval() {
         Rig rig = two();
