Read whole lists of servers from the name service, whatever their length

So all kept sending to servers that had been announced as leaving, and never learnt which were gone, so that the calls cut there were not ended.

Cause: FleetPoller.start made its socket without a receive buffer size. Netty then reads 2,048 bytes of a datagram and drops the rest. Ruled out: lost answers and failures (no such line in any log), eviction of the list's question by others (there are no others: addresses and texts come as additional records), processor time (at its cap in the first seconds alone).

Change: datagrams are read up to 64 KiB. What comes in is told once a poll or when all is there, not per answer. Drains count in an answer marked as cut short, until a whole list is read. An empty list is told: it says that all are gone. A text that is none changes nothing.

--- a/src/main/java/grebewick/lab/StandInNames.java
+++ b/src/main/java/grebewick/lab/StandInNames.java
@@ -4,10 +4,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.xbill.DNS.ARecord;
 import org.xbill.DNS.DClass;
 import org.xbill.DNS.Flags;
@@ -28,13 +30,13 @@
     public record Host(String id, String zone, int port, int group, boolean drains, long startedMs) { }
 
     private final DatagramSocket socket;
-    private List<Host> hosts = List.of();
+    private final Map<Name, Host> hosts = new LinkedHashMap<>();
     private long serial;
 
     /** An empty list, event 1. */
     public StandInNames(Vertx vertx) {
         serial = 1;
-        socket = vertx.createDatagramSocket();
+        socket = vertx.createDatagramSocket(new DatagramSocketOptions().setSendBufferSize(1 << 18));
         socket.handler(packet -> {
             try {
                 socket.send(Buffer.buffer(answer(new Message(packet.data().getBytes()))), packet.sender().port(),
@@ -53,27 +55,35 @@
 
     /** The list changes: one event more. */
     public void list(List<Host> now) {
-        hosts = List.copyOf(now);
+        hosts.clear();
+        now.forEach(h -> hosts.put(name(h.id + "." + h.zone + ".hosts."), h));
         serial++;
     }
 
+    private static Name name(String text) {
+        try {
+            return Name.fromString(text);
+        } catch (IOException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
     private byte[] answer(Message question) throws IOException {
         Message m = new Message(question.getHeader().getID());
         m.getHeader().setFlag(Flags.QR);
         Record asked = question.getQuestion();
         m.addRecord(asked, Section.QUESTION);
         Name zone = Name.fromString("fleet.local.");
-        for (Host h : hosts) {
-            Name name = Name.fromString(h.id + "." + h.zone + ".hosts.");
-            List<Record> found = new ArrayList<>();
-            if (asked.getType() == Type.SRV) {
-                found.add(new SRVRecord(Name.fromString(FLEET), DClass.IN, 0, h.drains ? 1 : 0, 40, h.port, name));
-            } else if (asked.getName().equals(name) && asked.getType() == Type.A) {
-                found.add(new ARecord(name, DClass.IN, 0, InetAddress.getByName("127.0.0.1")));
-            } else if (asked.getName().equals(name) && asked.getType() == Type.TXT) {
-                found.add(new TXTRecord(name, DClass.IN, 0, List.of("kind=std", "cell=" + h.group, "started=" + h.startedMs)));
-            }
-            found.forEach(r -> m.addRecord(r, Section.ANSWER));
+        Host host = hosts.get(asked.getName());
+        if (asked.getType() == Type.SRV) {
+            Name fleet = Name.fromString(FLEET);
+            hosts.forEach((name, h) ->
+                m.addRecord(new SRVRecord(fleet, DClass.IN, 0, h.drains ? 1 : 0, 40, h.port, name), Section.ANSWER));
+        } else if (host != null && asked.getType() == Type.A) {
+            m.addRecord(new ARecord(asked.getName(), DClass.IN, 0, InetAddress.getByName("127.0.0.1")), Section.ANSWER);
+        } else if (host != null && asked.getType() == Type.TXT) {
+            m.addRecord(new TXTRecord(asked.getName(), DClass.IN, 0,
+                List.of("kind=std", "cell=" + host.group, "started=" + host.startedMs)), Section.ANSWER);
         }
         m.addRecord(new SOARecord(zone, DClass.IN, 0, zone, zone, serial, 1, 1, 1, 1), Section.AUTHORITY);
         return m.toWire();
--- a/src/main/java/grebewick/names/FleetPoller.java
+++ b/src/main/java/grebewick/names/FleetPoller.java
@@ -9,11 +9,15 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
 import java.io.IOException;
-import java.util.HashMap;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.xbill.DNS.ARecord;
 import org.xbill.DNS.DClass;
@@ -30,13 +34,18 @@
 
 /**
  * Polls the name service for the list of servers and tells each newer one. Answers may get lost, fail, come cut
- * short or be another's: only a whole answer to a question that is open counts, and none undoes a later list.
+ * short or be another's: only a whole answer to a question that is open counts, and none undoes a later list. Of an
+ * answer that was cut, the drains alone are heeded.
  */
 public final class FleetPoller {
     /** us. Between questions: lost datagrams must not use up the time in which a drain is to be heeded. */
     private static final long EVERY_US = 100_000;
-    /** Questions that may be open; the eldest is forgotten. */
-    private static final int MOST_OPEN = 512;
+    /** Bytes of a datagram at the most. Guards long lists: Netty reads 2,048 unless told, and drops the rest. */
+    static final int MOST_BYTES = 65_535;
+    /** Questions that may be open; the eldest is forgotten, after some seconds at {@link #BATCH} a poll. */
+    private static final int MOST_OPEN = 4_096;
+    /** Questions after single servers at a time. Guards the answer to the list from drowning in theirs. */
+    private static final int BATCH = 64;
     private static final String FLEET = "_work._tcp.fleet.local.";
 
     private final Vertx vertx;
@@ -55,10 +64,12 @@
     private Address server;
     private DatagramSocket socket;
     private long serial;
-    /** The targets of list {@code serial}, and what is known of each. */
-    private Map<String, SRVRecord> list = Map.of();
-    private final Map<String, ARecord> addresses = new HashMap<>();
-    private final Map<String, TXTRecord> texts = new HashMap<>();
+    /** The targets of list {@code serial}, by name; null: none later than the configuration's was heard. */
+    private Map<String, Target> list;
+    /** Those of them with records to ask for, in the order of asking. */
+    private final ArrayDeque<Target> unsure = new ArrayDeque<>();
+    /** Servers that a cut answer calls draining; held until the next whole list. */
+    private final Set<String> drains = new HashSet<>();
     /** By server: what was told last. It serves until the name service has repeated it for a newer list. */
     private Map<String, Endpoint> told = new LinkedHashMap<>();
     private int bad;
@@ -78,7 +89,7 @@
 
     /** Starts asking. */
     public void start() {
-        socket = vertx.createDatagramSocket();
+        socket = vertx.createDatagramSocket(new DatagramSocketOptions().setReceiveBufferSize(MOST_BYTES));
         socket.handler(packet -> {
             if (!server.host().equals(packet.sender().hostAddress()) || server.port() != packet.sender().port()) {
                 return;
@@ -116,23 +127,31 @@
 
     private void poll() {
         timers.after(EVERY_US, this::poll);
+        if (list != null) {
+            // What came in since, though other servers' records are still out.
+            tell();
+        }
         ask();
     }
 
     private void ask() {
         query(fleet, Type.SRV);
-        askMissing();
+        askUnsure();
     }
 
-    private void askMissing() {
-        list.keySet().forEach(target -> {
-            if (!addresses.containsKey(target)) {
-                query(name(target), Type.A);
+    private void askUnsure() {
+        for (int i = Math.min(BATCH, unsure.size()); i > 0; i--) {
+            Target target = unsure.poll();
+            if (target.asksAddress) {
+                query(name(target.name), Type.A);
             }
-            if (!texts.containsKey(target)) {
-                query(name(target), Type.TXT);
+            if (target.asksText) {
+                query(name(target.name), Type.TXT);
             }
-        });
+            if (target.isUnsure()) {
+                unsure.add(target);
+            }
+        }
     }
 
     private void query(Name name, int type) {
@@ -149,87 +168,178 @@
             complain("an answer to no open question");
             return;
         }
-        if (answer.getRcode() != Rcode.NOERROR || answer.getHeader().getFlag(Flags.TC)) {
-            complain("an answer that is " + (answer.getHeader().getFlag(Flags.TC) ? "cut short" : Rcode.string(answer.getRcode())));
+        if (answer.getRcode() != Rcode.NOERROR) {
+            complain("an answer that is " + Rcode.string(answer.getRcode()));
             return;
         }
-        open.remove(answer.getHeader().getID());
+        boolean forList = asked.getType() == Type.SRV;
         long found = -1;
         for (Record r : answer.getSection(Section.AUTHORITY)) {
             found = r instanceof SOARecord soa ? soa.getSerial() : found;
         }
-        boolean whole = asked.getType() == Type.SRV;
-        if (found < serial && (whole || found >= 0)) {
+        if (answer.getHeader().getFlag(Flags.TC)) {
+            complain("an answer that is cut short");
+            if (forList && (found < 0 || found >= serial)) {
+                heedDrains(answer);
+            }
             return;
         }
-        boolean newer = whole && found > serial;
+        open.remove(answer.getHeader().getID());
+        if (found < serial && (forList || found >= 0)) {
+            return;
+        }
+        boolean newer = forList && (found > serial || !drains.isEmpty());
         if (newer) {
             serial = found;
-            addresses.clear();
-            texts.clear();
-            list = new LinkedHashMap<>();
-            for (Record r : answer.getSection(Section.ANSWER)) {
-                if (r instanceof SRVRecord srv) {
-                    list.put(srv.getTarget().toString(), srv);
-                }
+            drains.clear();
+            begin(answer);
+        }
+        if (list == null) {
+            return;
+        }
+        boolean heard = hear(answer, Section.ANSWER) | hear(answer, Section.ADDITIONAL);
+        if (newer || heard && unsure.stream().noneMatch(Target::isUnsure)) {
+            tell();
+        }
+        if (newer) {
+            askUnsure();
+        }
+    }
+
+    /** A list later than the one before: what was told of its servers serves until it is repeated, new ones first. */
+    private void begin(Message answer) {
+        Map<String, Target> before = list == null ? Map.of() : list;
+        list = new LinkedHashMap<>();
+        for (Record r : answer.getSection(Section.ANSWER)) {
+            if (r instanceof SRVRecord srv) {
+                String name = srv.getTarget().toString();
+                list.put(name, new Target(srv, before.get(name), told.get(name.split("\\.")[0])));
             }
         }
-        // What is said of a target counts only for the list that is being put together.
-        for (int section : new int[] {Section.ANSWER, Section.ADDITIONAL}) {
-            for (Record r : answer.getSection(section)) {
-                String target = r.getName().toString();
-                if (r instanceof ARecord a && list.containsKey(target)) {
-                    addresses.put(target, a);
-                } else if (r instanceof TXTRecord txt && list.containsKey(target)) {
-                    texts.put(target, txt);
-                }
+        unsure.clear();
+        list.values().stream().sorted(Comparator.comparing(t -> t.before != null)).forEach(unsure::add);
+    }
+
+    /** What is said of a target counts only for the list that is being put together. */
+    private boolean hear(Message answer, int section) {
+        boolean heard = false;
+        for (Record r : answer.getSection(section)) {
+            Target target = list.get(r.getName().toString());
+            heard |= target != null && target.hear(r);
+        }
+        return heard;
+    }
+
+    /** Guards against a drain that stands in lists too long for their answers: none undoes a drain but a whole list. */
+    private void heedDrains(Message cut) {
+        int before = drains.size();
+        for (Record r : cut.getSection(Section.ANSWER)) {
+            if (r instanceof SRVRecord srv && srv.getPriority() != 0) {
+                drains.add(srv.getTarget().toString().split("\\.")[0]);
             }
         }
-        tell();
-        if (newer) {
-            askMissing();
+        // Of servers never told, none is sent anything.
+        drains.retainAll(told.keySet());
+        if (drains.size() > before) {
+            told.replaceAll((id, e) -> draining(e));
+            news.accept(List.copyOf(told.values()));
         }
     }
 
+    private Endpoint draining(Endpoint e) {
+        ServerEntry s = e.entry();
+        return !drains.contains(s.server()) ? e : new Endpoint(new ServerEntry(s.server(), s.placeNo(), Stage.CORDONED,
+            s.launchedUs(), s.model(), s.zone(), s.units()), e.address());
+    }
+
     /**
      * Tells the list as far as it is known. Guards against drains and ends that are heeded late because what
      * else is asked of the servers got lost: only a server never told before waits for its address and text.
      */
     private void tell() {
         Map<String, Endpoint> now = new LinkedHashMap<>();
-        list.forEach((target, srv) -> {
-            Endpoint before = told.get(target.split("\\.")[0]);
-            if (before != null || addresses.containsKey(target) && texts.containsKey(target)) {
-                Endpoint e = endpoint(target, srv, before);
-                now.put(e.entry().server(), e);
+        for (Target target : list.values()) {
+            Endpoint e = target.endpoint();
+            if (e != null) {
+                now.put(e.entry().server(), draining(e));
             }
-        });
-        if (!list.isEmpty() && !now.equals(told)) {
+        }
+        if (!now.equals(told)) {
             told = now;
             news.accept(List.copyOf(now.values()));
         }
     }
 
-    private Endpoint endpoint(String target, SRVRecord srv, Endpoint before) {
-        String[] labels = target.split("\\.");
-        Stage stage = srv.getPriority() == 0 ? Stage.HEALTHY : Stage.CORDONED;
-        String zone = labels.length > 1 ? labels[1] : "";
-        double units = srv.getWeight() / 10.0;
-        String host = addresses.containsKey(target) ? addresses.get(target).getAddress().getHostAddress() : before.address().host();
-        Address address = new Address(host, srv.getPort());
-        if (!texts.containsKey(target)) {
-            ServerEntry e = before.entry();
-            return new Endpoint(new ServerEntry(e.server(), e.placeNo(), stage, e.launchedUs(), e.model(), zone, units), address);
+    /** One server of the list that is being put together. */
+    private static final class Target {
+        final String name;
+        final SRVRecord srv;
+        /** What was told of it before; null: nothing. */
+        final Endpoint before;
+        ARecord address;
+        int place;
+        long launchedUs;
+        String model;
+        boolean asksAddress;
+        boolean asksText = true;
+
+        Target(SRVRecord srv, Target earlier, Endpoint before) {
+            name = srv.getTarget().toString();
+            this.srv = srv;
+            this.before = before;
+            address = earlier == null ? null : earlier.address;
+            asksAddress = address == null && before == null;
+        }
+
+        boolean isUnsure() {
+            return asksAddress || asksText;
+        }
+
+        /** Takes a record of it; false: it was none that is asked for. */
+        boolean hear(Record r) {
+            if (r instanceof ARecord a && (asksAddress || !a.equals(address))) {
+                address = a;
+                asksAddress = false;
+                return true;
+            }
+            if (r instanceof TXTRecord text && asksText) {
+                // Read before anything is changed: what makes no sense changes nothing.
+                long launched = Long.parseLong(fact(text, "started", "0")) * 1000;
+                place = Integer.parseInt(fact(text, "cell", "-1"));
+                launchedUs = launched;
+                model = fact(text, "kind", "");
+                asksText = false;
+                // Its address may be another's by now, if this is a new start.
+                asksAddress |= before != null && launchedUs > before.entry().launchedUs();
+                return true;
+            }
+            return false;
+        }
+
+        private static String fact(TXTRecord text, String key, String other) {
+            for (String each : text.getStrings()) {
+                if (each.startsWith(key + "=")) {
+                    return each.substring(key.length() + 1);
+                }
+            }
+            return other;
         }
-        Map<String, String> facts = new HashMap<>();
-        for (String text : texts.get(target).getStrings()) {
-            int equals = text.indexOf('=');
-            if (equals > 0) {
-                facts.put(text.substring(0, equals), text.substring(equals + 1));
+
+        /** Null while it was never told and its records are not all there. */
+        Endpoint endpoint() {
+            if (before == null && isUnsure()) {
+                return null;
             }
+            String[] labels = name.split("\\.");
+            Stage stage = srv.getPriority() == 0 ? Stage.HEALTHY : Stage.CORDONED;
+            String zone = labels.length > 1 ? labels[1] : "";
+            double units = srv.getWeight() / 10.0;
+            Address at = new Address(address != null ? address.getAddress().getHostAddress() : before.address().host(),
+                srv.getPort());
+            boolean sure = !isUnsure();
+            return new Endpoint(new ServerEntry(labels[0], sure ? place : before.entry().placeNo(), stage,
+                sure ? launchedUs : before.entry().launchedUs(), sure ? model : before.entry().model(), zone, units), at);
         }
-        return new Endpoint(new ServerEntry(labels[0], Integer.parseInt(facts.getOrDefault("cell", "-1")), stage,
-            Long.parseLong(facts.getOrDefault("started", "0")) * 1000, facts.getOrDefault("kind", ""), zone, units), address);
     }
 
     private static Name name(String text) {
--- a/src/test/java/grebewick/names/FleetPollerTest.java
+++ b/src/test/java/grebewick/names/FleetPollerTest.java
@@ -6,6 +6,7 @@
 import grebewick.config.Endpoint;
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Stage;
+import grebewick.lab.StandInNames;
 import grebewick.play.Scenario;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
@@ -41,6 +42,7 @@
     private int rcode;
     private int otherId;
     private boolean cut;
+    private boolean nobody;
     private boolean onlyLists;
     private FleetPoller poller;
     private final List<Endpoint> known = new ArrayList<>();
@@ -97,7 +99,9 @@
                 case Type.A -> new ARecord(host, DClass.IN, 0, InetAddress.getByName("127.1.0.9"));
                 default -> new TXTRecord(host, DClass.IN, 0, List.of("kind=std", "cell=2", "started=" + started));
             };
-            m.addRecord(found, Section.ANSWER);
+            if (!nobody) {
+                m.addRecord(found, Section.ANSWER);
+            }
             m.addRecord(new SOARecord(zone, DClass.IN, 0, zone, zone, serial, 1, 1, 1, 1), Section.AUTHORITY);
             return m.toWire();
         } catch (java.io.IOException e) {
@@ -210,4 +214,79 @@
         s.play("wait 100").until(() -> told.size() == 1);
         assertThat(s.on(() -> asked)).as("asked at the old address").isEqualTo(before);
     }
+
+    /** Guards against lists longer than what a socket reads unless told, and against a drain that hides in one. */
+    @Test
+    void aListOfAThousandServersIsToldWholeAndADrainInItAtOnce() {
+        StandInNames names = s.on(() -> new StandInNames(s.vertx));
+        int port = s.await(names::listen);
+        List<StandInNames.Host> hosts = new ArrayList<>();
+        for (int i = 0; i < 1024; i++) {
+            hosts.add(new StandInNames.Host(String.format("s-%08x", i), "east", 5000 + i, i % 8, false, 1_700_000_000_000L + i));
+        }
+        s.on(() -> {
+            names.list(hosts);
+            new FleetPoller(s.vertx, s.clock, new Address("127.0.0.1", port), 1, List.of(), told::add, log::add).start();
+            return null;
+        });
+        int[] looks = {0};
+        s.until(() -> {
+            // Answers come in between: a clock that runs ahead of them would only flood both sides with questions.
+            if (looks[0]++ % 200 == 0) {
+                s.clock.pass(100_000);
+            }
+            return !told.isEmpty() && told.get(told.size() - 1).size() == 1024;
+        });
+        Endpoint last = s.on(() -> told.get(told.size() - 1).get(1023));
+        assertThat(last.entry().launchedUs()).isEqualTo(1_700_000_001_023_000L);
+        int before = s.on(() -> {
+            hosts.set(1023, new StandInNames.Host("s-000003ff", "east", 6023, 7, true, 1_700_000_001_023L));
+            names.list(hosts);
+            return told.size();
+        });
+        s.play("wait 100").until(() -> told.size() > before);
+        assertThat(s.on(() -> told.get(before).get(1023).entry().stage())).isEqualTo(Stage.CORDONED);
+        assertThat(s.on(() -> told.get(before)).size()).isEqualTo(1024);
+    }
+
+    /** Guards against a list too long for its answers: it names drains all the same, and a whole list has the last word. */
+    @Test
+    void aCutAnswerTellsDrainsAndNothingElse() {
+        s.on(() -> known.add(new Endpoint(new ServerEntry("s-1", 2, Stage.HEALTHY, 0, "std", "east", 4),
+            new Address("127.1.0.9", 5070))));
+        Address at = server();
+        s.on(() -> {
+            cut = true;
+            priority = 1;
+            new FleetPoller(s.vertx, s.clock, at, 3, known, told::add, log::add).start();
+            return null;
+        });
+        s.until(() -> told.size() == 1);
+        assertThat(told.get(0).get(0).entry().stage()).isEqualTo(Stage.CORDONED);
+        s.on(() -> {
+            cut = false;
+            priority = 0;
+            return null;
+        });
+        poll(1);
+        s.until(() -> told.size() == 2);
+        assertThat(told.get(1).get(0).entry().stage()).isEqualTo(Stage.HEALTHY);
+    }
+
+    /** Guards against set-ups to the last server, once it is gone; what makes no sense of a server changes nothing. */
+    @Test
+    void anEmptyListIsToldAndAStartThatIsNoNumberIsNot() {
+        serial = 4;
+        started = "soon";
+        poll(3);
+        s.until(() -> log.stream().anyMatch(line -> line.contains("soon")));
+        assertThat(s.on(() -> told.size())).isZero();
+        started = "0";
+        s.play("wait 100").until(() -> told.size() == 1);
+        serial = 5;
+        nobody = true;
+        poll(1);
+        s.until(() -> told.size() == 2);
+        assertThat(told.get(1)).isEmpty();
+    }
 }
