Module: sum the usual lines once a change of the list, and look pools up by hash

Need: up to 1,024 servers. Seen in the code: usualPerS summed over all servers for each server that a choice looks at (slotUs, rationPerS), and allowed() searched the list of the class's pools for each of them: two times the square of the number of servers a choice, which is two million steps at 1,024.

Change: the sum is kept until the list or the usual lines change (endInterval, onFleet), pools are sets.

--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -1,16 +1,6 @@
 package grebewick.core;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Random;
-import java.util.Set;
-import java.util.TreeMap;
+import java.util.*;
 import java.util.function.Consumer;
 
 /**
@@ -46,6 +36,7 @@
     private final Settings set;
     private final Random random;
     private final Map<String, Integer> gradeOf = new HashMap<>();
+    private final List<Set<Integer>> places = new ArrayList<>();
     private final Map<String, Server> servers = new TreeMap<>();
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
     private final Map<Long, Out> outs = new HashMap<>();
@@ -60,6 +51,9 @@
     private final double worthMost;
     /** Own completions a second at all servers; negative: not known yet. */
     private double totalPerS = -1;
+    /** Usual lines of all servers and of one; negative: not summed up since they changed. */
+    private double usualSum = -1;
+    private double usualMean;
     private long nowUs;
     private Consumer<Action> out;
     private boolean running;
@@ -104,6 +98,7 @@
             check(grade.windowUs() >= 0, "Grades.Window");
             check(!pools || !byClass.get(i).isEmpty(), "FamilyInfo.PoolsByClass");
             gradeOf.put(grade.name(), i);
+            places.add(pools ? Set.copyOf(byClass.get(i)) : Set.of());
             aimUs = Math.min(aimUs, grade.goalTimeUs());
             limitUs = Math.max(limitUs, grade.hardLimitUs());
             most = Math.max(most, grade.worth());
@@ -213,6 +208,7 @@
                     s.usualLines = before.place == s.place ? before.usualLines : s.usualLines;
                 }
                 servers.put(s.id, s);
+                usualSum = -1;
                 if (cold(s)) {
                     phase(s);
                 } else if (set.bounds().probes()) {
@@ -223,6 +219,7 @@
             s.stage = entry.stage();
             s.zone = entry.zone();
         }
+        usualSum = -1;
         serveHeld();
     }
 
@@ -418,6 +415,7 @@
         // Slowly forgotten: a ration made from it must not starve itself.
         double part = totalPerS < 0 ? 1 : sum > totalPerS ? 0.5 : sum > 0 ? 0.25 : 0;
         totalPerS = Math.max(0, totalPerS) + part * (sum - Math.max(0, totalPerS));
+        usualSum = -1;
         servers.values().removeIf(s -> s.stage == Stage.DEREGISTERED && s.open.isEmpty());
         for (Throttle n : numbers.values()) {
             n.limit = nextLimit(n.limit, n.completed, tdUs, tauUs, n.overloaded, true);
@@ -517,7 +515,7 @@
     private List<Server> allowed(Pending p) {
         List<Server> result = new ArrayList<>();
         for (Server s : servers.values()) {
-            boolean place = pools() ? set.familyInfo().poolsByClass().get(p.gradeNo).contains(s.place)
+            boolean place = pools() ? places.get(p.gradeNo).contains(s.place)
                 : s.place != set.familyInfo().homeNo() && (!p.call.passing() || s.place == p.call.farEnd());
             boolean linked = s.size != 0 && (pools() || s.free < 0 || s.free >= Math.max(1, p.call.units()));
             if (s.stage == Stage.HEALTHY && place && linked && !p.tried.contains(s.id) && sameGroup(p, s)) {
@@ -617,18 +615,21 @@
      * few at one server are noise; lines in use are what all gateways set up. Without reports all are alike.
      */
     private double usualPerS(Server s) {
-        double sum = 0;
-        int known = 0;
-        int all = 0;
-        for (Server other : servers.values()) {
-            boolean counts = other.stage == Stage.HEALTHY && other.usualLines >= 0;
-            all += other.stage == Stage.HEALTHY ? 1 : 0;
-            known += counts ? 1 : 0;
-            sum += counts ? Math.max(1, other.usualLines) : 0;
-        }
-        double mean = known == 0 ? 1 : sum / known;
-        double own = s.usualLines < 0 ? mean : Math.max(1, s.usualLines);
-        return totalPerS * own / Math.max(own, sum + (all - known) * mean);
+        if (usualSum < 0) {
+            int known = 0;
+            int all = 0;
+            usualSum = 0;
+            for (Server other : servers.values()) {
+                boolean counts = other.stage == Stage.HEALTHY && other.usualLines >= 0;
+                all += other.stage == Stage.HEALTHY ? 1 : 0;
+                known += counts ? 1 : 0;
+                usualSum += counts ? Math.max(1, other.usualLines) : 0;
+            }
+            usualMean = known == 0 ? 1 : usualSum / known;
+            usualSum += (all - known) * usualMean;
+        }
+        double own = s.usualLines < 0 ? usualMean : Math.max(1, s.usualLines);
+        return totalPerS * own / Math.max(own, usualSum);
     }
 
     /**
