Take back unsent set-ups from servers that drain; size connections by the descriptors

Seen by reading (issue's suspects), confirmed by a test that fails without the change: a set-up whose server has no connection yet waits in Trunk.leave for one to come up, while Gatekeeper.breach looked at the drain at the choice alone; and Line.begin let what waited out (owner.up) before it looked whether its server is still listed.

Change: Trunk.recall, once the core knows the list: set-ups that have not left for a server that drains or is gone are moot, and the module chooses again; where bytes of one are stuck, their connection is closed. Line.begin looks first.

Need: lists of 1,024 servers with 256 descriptors. Two connections to each server were opened whatever the limits. Change: trunk.Quota gives out what callers' half, accepted ones and the libraries' files (45 measured) leave, 48 of 256; discovery.Subset names the servers a gatekeeper works with where the list has more than three quarters of that: whoever is chosen stays while listed, each class has its share, gatekeepers draw differently. PeerLink finds a sender by hash.

Measured: tests with 1,024 servers and 256 descriptors, all of which then drain.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -24,7 +24,7 @@
     private static final long LONGEST_US = 3_000_000;
 
     /** Connections that may be accepted and not yet looked at, beside those that the front holds. */
-    private static final int UNSEEN = 32;
+    static final int UNSEEN = 32;
 
     private final Vertx vertx;
     private final CountDownLatch ended = new CountDownLatch(1);
--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -8,6 +8,7 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.Logic;
 import grebewick.core.Timers;
+import grebewick.discovery.Subset;
 import grebewick.names.FleetPoller;
 import grebewick.peers.PeerLink;
 import grebewick.sip.SipFront;
@@ -20,11 +21,16 @@
 
 /** The platform's gatekeeper: callers by SIP, recipe servers by the binary protocol. All calls on one event loop. */
 public final class Node {
+    /** Connections accepted and not yet seen, the libraries' files (45 measured) and what else is no connection. */
+    private static final int KEPT_BACK = Daemon.UNSEEN + 48;
+    private static final int LEAST_TO_SERVERS = 16;
+
     private final Vertx vertx;
     private final NodeConfig config;
     private final Timers timers;
     private final Consumer<String> log;
     private final Trunk trunk;
+    private final Subset subset;
     private final Gatekeeper<byte[]> core;
     private final SipFront front;
     private PeerLink peers;
@@ -36,7 +42,8 @@
         this.config = config;
         this.timers = timers;
         this.log = log;
-        trunk = new Trunk(vertx, config.settings(), clock, timers, log);
+        int connections = Math.max(LEAST_TO_SERVERS, config.sockets() - SipFront.mostLines(config.sockets()) - KEPT_BACK);
+        trunk = new Trunk(vertx, config.settings(), connections, clock, timers, log);
         core = new Gatekeeper<>(config.settings(), new Logic(config.settings(), config.seed()), clock, timers, trunk,
             (peer, bytes) -> {
                 if (peers != null) {
@@ -44,6 +51,9 @@
                 }
             }, log);
         trunk.attach(core);
+        // A quarter is left for those that replace others and for spare connections.
+        subset = new Subset(connections - connections / 4, config.settings().familyInfo().shape().equals("pools")
+            ? config.settings().familyInfo().poolsByClass() : List.of(), config.seed(), log);
         front = new SipFront(vertx, config.settings(), config.sockets(), core, clock, timers, log);
         trunk.onStray(front::releaseStray);
         front.onStray(trunk::releaseStray);
@@ -79,10 +89,12 @@
     }
 
     /** The list of servers as it now is. */
-    void tell(Scope scope, List<Endpoint> list) {
+    void tell(Scope scope, List<Endpoint> whole) {
+        List<Endpoint> list = subset.of(whole);
         // The lines first: the module may send to a new server within the turn that tells of it.
         Map<String, Long> dead = trunk.list(list);
         core.fleet(new Fleet(scope, 0, list.stream().map(Endpoint::entry).toList()), dead);
+        trunk.recall();
     }
 
     /** From now on tests fail, so that callers go elsewhere; calls are still taken. */
--- a/src/main/java/grebewick/peers/PeerLink.java
+++ b/src/main/java/grebewick/peers/PeerLink.java
@@ -5,7 +5,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BiConsumer;
 
 /** Short messages between gatekeepers: datagrams that come late or never. */
@@ -21,9 +23,13 @@
         this.peers = peers;
         this.all = all;
         socket = vertx.createDatagramSocket();
+        Map<Address, Integer> numbers = new HashMap<>();
+        for (int i = 0; i < peers.size(); i++) {
+            numbers.putIfAbsent(peers.get(i), i);
+        }
         socket.handler(packet -> {
-            int from = peers.indexOf(new Address(packet.sender().hostAddress(), packet.sender().port()));
-            if (from >= 0 && packet.data().length() <= MOST) {
+            Integer from = numbers.get(new Address(packet.sender().hostAddress(), packet.sender().port()));
+            if (from != null && packet.data().length() <= MOST) {
                 heard.accept(from, packet.data().getBytes());
             }
         });
--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -53,7 +53,10 @@
 
     final String id;
     long launchedUs;
+    /** The list says so: it ends its calls, and gets no more. */
+    boolean drains;
     private final NetClient client;
+    private final Quota quota;
     private final Clock clock;
     private final Timers timers;
     private final Owner owner;
@@ -69,12 +72,13 @@
     /** A connection broke off: what was on its way to here comes again on the next one to be opened, and only there. */
     private boolean renew;
 
-    Line(String id, Address address, long launchedUs, NetClient client, Clock clock, Timers timers, Owner owner,
-         Consumer<String> log) {
+    Line(String id, Address address, long launchedUs, NetClient client, Quota quota, Clock clock, Timers timers,
+         Owner owner, Consumer<String> log) {
         this.id = id;
         this.address = address;
         this.launchedUs = launchedUs;
         this.client = client;
+        this.quota = quota;
         this.clock = clock;
         this.timers = timers;
         this.owner = owner;
@@ -113,6 +117,11 @@
         return usable() > 0;
     }
 
+    /** The list has it and does not call it draining. */
+    boolean takesCalls() {
+        return listed && !drains;
+    }
+
     /** It may have moved or started anew: connections from before may be dead without a word. */
     void update(Address now, long launched) {
         boolean moved = !now.equals(address);
@@ -140,6 +149,12 @@
         if (connecting || !listed || usable() >= MOST && !renew || clock.nowUs() < notBeforeUs) {
             return;
         }
+        if (!quota.take(usable() == 0)) {
+            if (usable() == 0) {
+                unreached(false);
+            }
+            return;
+        }
         connecting = true;
         boolean renewing = renew;
         renew = false;
@@ -148,6 +163,7 @@
             if (done.succeeded()) {
                 begin(done.result());
             } else {
+                quota.give();
                 renew |= renewing;
                 failed(done.cause());
             }
@@ -167,12 +183,13 @@
         for (TrunkMessage m = owed.poll(); m != null; m = owed.poll()) {
             write(link, m);
         }
-        owner.up(this);
         if (!listed) {
+            // Before anything that waits for it goes out there.
             drop(link);
-        } else {
-            refill();
+            return;
         }
+        owner.up(this);
+        refill();
     }
 
     private void read(Link link, Buffer bytes) {
@@ -195,7 +212,7 @@
     }
 
     /** Of no further use: whatever is open on it is lost, now and not when the other side has closed too. */
-    private void drop(Link link) {
+    void drop(Link link) {
         link.broken = true;
         closed(link);
         link.socket.close();
@@ -218,6 +235,7 @@
         if (!links.remove(link)) {
             return;
         }
+        quota.give();
         // Not after a farewell, which leaves nothing on its way.
         renew |= listed && (link.broken || !link.finishing);
         owner.lost(this, link);
@@ -234,7 +252,7 @@
     }
 
     private void refill() {
-        if (usable() < SPARE || renew) {
+        if (usable() < quota.spare(SPARE) || renew) {
             connect();
         }
     }
@@ -250,9 +268,13 @@
                 }
             }
         }
-        unreachable = true;
         // With a connection left the process runs, and only takes no more of them.
-        owner.unreachable(this, refused && links.isEmpty());
+        unreached(refused && links.isEmpty());
+    }
+
+    private void unreached(boolean dead) {
+        unreachable = true;
+        owner.unreachable(this, dead);
         notBeforeUs = clock.nowUs() + RETRY_US;
         timers.after(RETRY_US, this::refill);
     }
@@ -303,7 +325,7 @@
                 log.accept("trunk " + id + ": closed, as it stopped in the middle of a message");
                 drop(link);
             } else if (link.legs.isEmpty()
-                    && (link.retired || usable() > SPARE && nowUs - link.usedUs >= UNUSED_US)) {
+                    && (link.retired || usable() > quota.spare(SPARE) && nowUs - link.usedUs >= UNUSED_US)) {
                 finish(link);
             }
         }
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -4,6 +4,7 @@
 
 import grebewick.config.Endpoint;
 import grebewick.core.CallControl.Settings;
+import grebewick.core.CallControl.Stage;
 import grebewick.core.CallControl.State;
 import grebewick.core.Clock;
 import grebewick.core.Ending;
@@ -36,6 +37,7 @@
     private final Clock clock;
     private final Timers timers;
     private final NetClient client;
+    private final Quota quota;
     private final Reports reports;
     private final long probeUs;
     private final long doubtUs;
@@ -58,8 +60,9 @@
     private long nextProbe = 1;
     private long taken;
 
-    /** Makes the trunk side; {@link #attach} gives it its core before anything is listed. */
-    public Trunk(Vertx vertx, Settings set, Clock clock, Timers timers, Consumer<String> log) {
+    /** Makes the trunk side, of so many connections at the most; {@link #attach} gives it its core before anything is listed. */
+    public Trunk(Vertx vertx, Settings set, int connections, Clock clock, Timers timers, Consumer<String> log) {
+        quota = new Quota(connections);
         this.clock = clock;
         this.timers = timers;
         this.log = log;
@@ -132,6 +135,7 @@
             }
             return gone;
         });
+        quota.servers(now.size());
         now.forEach((id, e) -> {
             Line line = lines.get(id);
             if (line != null) {
@@ -139,15 +143,35 @@
                     dead.put(id, e.entry().launchedUs());
                 }
                 line.update(e.address(), e.entry().launchedUs());
-                return;
+            } else {
+                line = new Line(id, e.address(), e.entry().launchedUs(), client, quota, clock, timers, this, log);
+                lines.put(id, line);
+                line.connect();
             }
-            line = new Line(id, e.address(), e.entry().launchedUs(), client, clock, timers, this, log);
-            lines.put(id, line);
-            line.connect();
+            line.drains = e.entry().stage() != Stage.HEALTHY;
         });
         return dead;
     }
 
+    /**
+     * Takes back what has not left for a server that drains or is gone; to be called once the core knows of it, and
+     * so chooses no such server again. Guards the rule on drains, which counts the first byte that leaves, where the
+     * choice was made before: for a set-up that waits for its connection, and for one whose bytes are stuck.
+     */
+    public void recall() {
+        for (Leg leg : List.copyOf(byCall.values())) {
+            if (leg.stands || leg.line.takesCalls() || byCall.get(leg.call) != leg) {
+                continue;
+            }
+            if (leg.on == null) {
+                forget(leg);
+                core.ended(leg.call, leg.copy, State.IGNORED, 0, List.of());
+            } else if (leg.on.unwritten() > 0) {
+                leg.line.drop(leg.on);
+            }
+        }
+    }
+
     // ---- from the core
 
     @Override
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -6,11 +6,16 @@
 import grebewick.config.Endpoint;
 import grebewick.config.NodeConfig;
 import grebewick.core.CallControl.Scope;
+import grebewick.core.CallControl.Settings;
 import grebewick.core.CallControl.Stage;
 import grebewick.play.Scenario;
 import grebewick.play.Sites;
 import grebewick.sip.SipDialect;
 import grebewick.trunk.TrunkDialect;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -172,6 +177,68 @@
             c < BYE 01 41""");
     }
 
+    /** Guards the rule on drains where the choice was made before the news: a set-up that waits for its connection. */
+    @Test
+    void aSetUpThatWaitsForItsConnectionIsTakenBackOnceItsServerDrains() throws IOException {
+        InetAddress here = InetAddress.getByName("127.0.0.1");
+        // Nobody accepts there: once its backlog is full, a connection neither comes up nor fails.
+        try (ServerSocket mute = new ServerSocket(0, 1, here); Socket first = new Socket(here, mute.getLocalPort());
+                Socket second = new Socket(here, mute.getLocalPort())) {
+            Endpoint three = endpoint("s3", mute.getLocalPort(), Stage.HEALTHY, 0);
+            Settings patient = Sites.settings(Sites.SETTINGS.replace("\"ConnectTimeout\":500000", "\"ConnectTimeout\":60000000"));
+            Node waits = s.on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null,
+                null, 0, List.of(three, two), SOCKETS, patient), s.clock, s.clock, log::add));
+            s.client("e", new SipDialect(), s.await(waits::start));
+            s.play("e > INVITE 01\n e has no more\n s2 has no more");
+            s.on(() -> {
+                waits.tell(Scope.COMPLETE, List.of(endpoint("s3", mute.getLocalPort(), Stage.CORDONED, 0), two));
+                return null;
+            });
+            s.play("s2 < set-up 01*\n s2 > release 01 47\n s2 < released 01\n wait 4000\n e < 503*");
+            assertThat(first.isConnected() && second.isConnected()).isTrue();
+        }
+    }
+
+    /** Guards the descriptors: 36 servers are used and not more, and the rest take over where these drain. */
+    @Test
+    void ofAThousandServersAsManyAreUsedAsTheDescriptorsBear() {
+        Settings settings = Sites.settings();
+        Node wide = s.on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
+            List.of(), 256, settings), s.clock, s.clock, log::add));
+        s.client("e", new SipDialect(), s.await(wide::start));
+        int at = s.server("many", new TrunkDialect());
+        int then = s.server("others", new TrunkDialect());
+        List<Endpoint> list = new ArrayList<>();
+        for (int i = 0; i < 1024; i++) {
+            list.add(endpoint("m" + i, at, Stage.HEALTHY, i % 2));
+        }
+        s.on(() -> {
+            wide.tell(Scope.COMPLETE, list);
+            return null;
+        });
+        s.play("many reached 36");
+        assertThat(s.on(() -> log)).contains("servers: 36 of 1024 are in use, as the descriptors bear no more");
+        s.play("e > INVITE 01\n many < set-up 01*\n many > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01");
+        s.play("e < 200 BYE 01\n many < release 01 16");
+        for (int i = 0; i < 1024; i++) {
+            list.set(i, endpoint("m" + i, at, Stage.CORDONED, i % 2));
+            list.add(endpoint("o" + i, then, Stage.HEALTHY, i % 2));
+        }
+        s.on(() -> {
+            wide.tell(Scope.COMPLETE, list);
+            return null;
+        });
+        // Of 48 connections 36 are with the old ones, until these are gone.
+        s.play("others reached 12");
+        s.on(() -> {
+            wide.tell(Scope.COMPLETE, list.subList(1024, 2048));
+            return null;
+        });
+        s.play("wait 10000\n e sees the end\n wait 300\n others reached 36\n e > INVITE 02\n others < set-up 02*\n others > answer 02 desc");
+        s.play("e < 200 INVITE 02 desc\n e > BYE 02\n e < 200 BYE 02\n others < release 02 16");
+        assertThat(s.on(() -> wide.calls())).isZero();
+    }
+
     @Test
     void aReleaseOwedGoesOutOnTheNextConnection() {
         s.play("""
--- /dev/null
+++ b/src/test/java/grebewick/discovery/SubsetTest.java
@@ -0,0 +1,72 @@
+package grebewick.discovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.config.Address;
+import grebewick.config.Endpoint;
+import grebewick.core.CallControl.Stage;
+import grebewick.play.Sites;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Which servers a gatekeeper works with, where there are more than it can hold connections with. */
+class SubsetTest {
+    private final List<String> log = new ArrayList<>();
+
+    private static List<Endpoint> list(int n) {
+        List<Endpoint> list = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            list.add(server(i, Stage.HEALTHY));
+        }
+        return list;
+    }
+
+    private static Endpoint server(int i, Stage stage) {
+        return new Endpoint(Sites.entry("s" + i, i, stage, 0), new Address("127.0.0.1", 5070));
+    }
+
+    private Subset subset(int most, List<List<Integer>> pools, long seed) {
+        return new Subset(most, pools, seed, log::add);
+    }
+
+    @Test
+    void whatTheDescriptorsBearIsAllUsed() {
+        List<Endpoint> list = list(1024);
+        assertThat(subset(1024, List.of(), 1).of(list)).isEqualTo(list);
+        assertThat(log).isEmpty();
+    }
+
+    /** Guards calls that stand: none of their servers leaves before the list says so; a draining one is followed. */
+    @Test
+    void whoIsChosenStaysWhileListedAndIsFollowedWhenItDrains() {
+        Subset subset = subset(10, List.of(), 1);
+        List<Endpoint> list = list(8);
+        assertThat(subset.of(list)).hasSize(8);
+        list = list(100);
+        List<Endpoint> chosen = subset.of(list);
+        assertThat(chosen).hasSize(10).containsAll(list.subList(0, 8));
+        list.set(3, server(3, Stage.CORDONED));
+        List<Endpoint> next = subset.of(list);
+        assertThat(next).hasSize(11).contains(server(3, Stage.CORDONED));
+        list.remove(3);
+        assertThat(subset.of(list)).hasSize(10).isSubsetOf(next);
+        assertThat(log).containsExactly("servers: 10 of 100 are in use, as the descriptors bear no more");
+    }
+
+    @Test
+    void everyClassHasItsShareAndGatekeepersDrawDifferently() {
+        List<Integer> rare = List.of(500, 501, 502);
+        List<Integer> all = list(1024).stream().map(e -> e.entry().placeNo()).toList();
+        Set<Endpoint> used = new HashSet<>();
+        for (long seed = 0; seed < 100; seed++) {
+            List<Endpoint> chosen = subset(64, List.of(all, rare), seed).of(list(1024));
+            assertThat(chosen).hasSize(64);
+            assertThat(chosen.stream().filter(e -> rare.contains(e.entry().placeNo()))).hasSize(3);
+            used.addAll(chosen);
+        }
+        assertThat(used).hasSizeGreaterThan(1000);
+    }
+}
