Answer whoever still waits before a process that was told to end goes

Seen by reading (issue: the life of an answer through SIGTERM), confirmed by a test that fails without the change: Leave.look went at its time's end whatever was unanswered ("ends: its time is up; left behind: 0 calls standing, 1 unanswered").

Change: 0.2 s before its time is up Leave has Gatekeeper.answerAll answer all that wait, and their set-ups are given up.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -104,7 +104,8 @@
                 if (node != null) {
                     node.refuseCalls();
                 }
-                new Leave(timers, Math.min(longestUs, LONGEST_US), this::debts, this::work, Daemon::log, this::leave).start();
+                new Leave(timers, Math.min(longestUs, LONGEST_US), this::debts, this::work, Daemon::log, this::answerAll,
+                    this::leave).start();
             });
         });
         try {
@@ -117,6 +118,15 @@
         }
     }
 
+    private void answerAll() {
+        if (node != null) {
+            node.answerAll();
+        }
+        if (diameter != null) {
+            diameter.answerAll();
+        }
+    }
+
     private void leave() {
         if (diameter != null) {
             diameter.leave();
--- a/src/main/java/grebewick/Leave.java
+++ b/src/main/java/grebewick/Leave.java
@@ -11,6 +11,8 @@
 final class Leave {
     /** us. Between looks: long enough for the loop to have read what is there. */
     static final long LOOK_US = 20_000;
+    /** us. Before its time is up, when whoever still waits is answered: in time for the answers to be written. */
+    static final long ANSWER_US = 200_000;
     /** Looks in a row that must find nothing owed and nothing new. */
     private static final int QUIET = 2;
 
@@ -18,18 +20,22 @@
     private final Supplier<Debts> debts;
     private final Supplier<Work> work;
     private final Consumer<String> log;
+    private final Runnable answer;
     private final Runnable go;
     private long leftUs;
+    private boolean answered;
     private int quiet;
     private Work before;
 
-    /** {@code mostUs}: how long it may take; {@code go} is run once, at its end. */
-    Leave(Timers timers, long mostUs, Supplier<Debts> debts, Supplier<Work> work, Consumer<String> log, Runnable go) {
+    /** {@code mostUs}: how long it may take; {@code answer} answers all that wait, {@code go} is run once, at its end. */
+    Leave(Timers timers, long mostUs, Supplier<Debts> debts, Supplier<Work> work, Consumer<String> log, Runnable answer,
+          Runnable go) {
         this.timers = timers;
         this.leftUs = mostUs;
         this.debts = debts;
         this.work = work;
         this.log = log;
+        this.answer = answer;
         this.go = go;
     }
 
@@ -40,6 +46,11 @@
 
     private void look() {
         leftUs -= LOOK_US;
+        if (leftUs <= ANSWER_US && !answered && debts.get().unanswered() > 0) {
+            // Guards requests with a deadline longer than the time given: none is lost with the process.
+            answered = true;
+            answer.run();
+        }
         Work now = work.get();
         Debts owed = debts.get();
         quiet = owed.none() && now.equals(before) ? quiet + 1 : 0;
--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -107,6 +107,11 @@
         front.refuseCalls();
     }
 
+    /** Whoever still waits has its answer now. */
+    public void answerAll() {
+        core.answerAll();
+    }
+
     /** Calls that wait, have an attempt out or stand. */
     public int calls() {
         return core.calls();
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -249,6 +249,22 @@
         }
     }
 
+    /** The process ends: who still waits has its answer now, a refusal where no server can have run the call. */
+    public void answerAll() {
+        turn(() -> {
+            for (long id : List.copyOf(calls.keySet())) {
+                answerNow(id, life -> {
+                    if (life.out == null && life.notBeforeUs == Long.MIN_VALUE) {
+                        life.caller.refused(id, set.bounds().maxRetryAfterUs());
+                    } else {
+                        life.caller.failed(id);
+                    }
+                    inbox.add(new Hangup(id));
+                });
+            }
+        });
+    }
+
     // ---- news of the servers
 
     /** News of the list; a call that stood at one of {@code dead} before the moment given is cut. */
--- a/src/main/java/grebewick/diameter/DiameterNode.java
+++ b/src/main/java/grebewick/diameter/DiameterNode.java
@@ -78,6 +78,11 @@
         front.stop();
     }
 
+    /** Whoever still waits has its answer now. */
+    public void answerAll() {
+        core.answerAll();
+    }
+
     /** Takes leave of the servers. */
     public void leave() {
         servers.stop();
--- a/src/test/java/grebewick/RestartTest.java
+++ b/src/test/java/grebewick/RestartTest.java
@@ -84,7 +84,7 @@
             one.failTests();
             timers.after(700_000, () -> {
                 one.refuseCalls();
-                new Leave(timers, 3_000_000, one::debts, one::work, log::add, () -> ended = true).start();
+                new Leave(timers, 3_000_000, one::debts, one::work, log::add, one::answerAll, () -> ended = true).start();
             });
             return null;
         });
@@ -159,6 +159,26 @@
         s.play("s1 > release 01 16\n s1 < released 01\n c < BYE 01 16");
     }
 
+    /** Guards requests whose deadline is longer than the time that the process has: they are answered before it goes. */
+    @Test
+    void whoStillWaitsWhenItsTimeIsUpIsAnswered() {
+        s.play("""
+            n0 is told to end
+            wait 600
+            c > INVITE 01
+            s1 < set-up 01*
+            wait 1301
+            s1 < release 01 16
+            wait 500
+            s2 < set-up 01*
+            wait 1100
+            c < 500 INVITE 01
+            s2 < release 01 16
+            wait 200
+            n0 has ended""");
+        assertThat(log).contains("ends: nothing is owed");
+    }
+
     /** Calls stand for no process: after a kill their releases come to the next one, on whatever connection. */
     @Test
     void afterAKillTheReleasesOfCallsFromBeforeAreToldOnce() {
