Read a list that has not changed no further than its bytes

Seen: Rush with 1,024 servers, 50 calls a second, 15 s, one run each: from second 5 on the loop took 560 ms in 5 s with 256 descriptors and 660 with 1,024, against 350 with 2 servers. The list of 1,024 is 42 KB, asked for ten times a second and each time decoded into records, whether it had changed or not.

Change: an answer that equals the last whole list but for its id is not decoded. An address that came with the list is not asked for again where the text beside it tells of a new start. Rush takes servers, peers and sockets, and tells memory and descriptors.

--- a/src/main/java/grebewick/lab/Rush.java
+++ b/src/main/java/grebewick/lab/Rush.java
@@ -15,27 +15,35 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 
 /**
  * Drives one gatekeeper process with open-loop calls, cuts all standing calls at once, and says what its event loop
  * cost and how soon each end was told. Run as
- * {@code java -cp target/grebewick.jar grebewick.lab.Rush rate=50 seconds=20 hold=700 cut=10 -- java ... serve}.
+ * {@code java -cp target/grebewick.jar grebewick.lab.Rush rate=50 seconds=20 hold=700 cut=10 -- java ... serve}. With
+ * {@code servers=1024 peers=1024 sockets=256} it says what a large fleet costs one gatekeeper.
  */
 public final class Rush {
     private static final String CONFIG = """
         {"name":"n0","listen":"127.0.0.1:%d","names":"127.0.0.1:%d","known":{"index":1,"updates":[{"snapshot":true,"endpoints":[%s]}]},
-         "limits":{"sockets":512},
-         "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[0,1]],"Resend":400000,"Release":500000,"Shape":"pools"},
-          "Bounds":{"AttemptsCap":4,"ConnectTimeout":500000,"MaxOpen":20000,"Cancel":true,"Probes":true,"RetryAfter":true},"ReplicasOfMe":1,
+         "limits":{"sockets":%d},"peer_listen":"127.0.0.1:0","peers":[%s],
+         "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[%s]],"Resend":400000,"Release":500000,"Shape":"pools"},
+          "Bounds":{"AttemptsCap":4,"ConnectTimeout":500000,"MaxOpen":20000,"Cancel":true,"Probes":true,"RetryAfter":true},"ReplicasOfMe":%d,
           "Grades":[{"Name":"a","GoalTime":400000,"HardLimit":3000000,"Effect":"retryable","Worth":1.0,"LateValue":0.1}],
           "Report":{"Fields":["free","size","can_take","queue"],"How":"inline"},"Period":5000,
           "Rules":{"Cold":5000000,"ColdFrom":0.5,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3}}}""";
 
+    /** Stand-in processes; with more servers than that, several share one. */
+    private static final int MOST_PROCESSES = 8;
+
     private Rush() { }
 
     /** Prints a table; exits with 1 where an end was not told within a second. */
     public static void main(String[] args) throws Exception {
-        Map<String, Long> set = new HashMap<>(Map.of("rate", 50L, "seconds", 20L, "hold", 700L, "cut", 0L, "work", 30L, "lines", 2000L));
+        Map<String, Long> set = new HashMap<>(Map.of("rate", 50L, "seconds", 20L, "hold", 700L, "cut", 0L, "work", 30L, "lines", 2000L,
+            "servers", 2L, "peers", 1L, "sockets", 512L));
         int split = Arrays.asList(args).indexOf("--");
         for (String arg : Arrays.asList(args).subList(0, split < 0 ? args.length : split)) {
             String[] pair = arg.split("=", 2);
@@ -58,11 +66,16 @@
         List<StandInServer> servers = new ArrayList<>();
         List<StandInNames.Host> hosts = new ArrayList<>();
         StringBuilder known = new StringBuilder();
-        for (int i = 0; i < 2; i++) {
-            StandInServer server = new StandInServer(vertx, set.get("work"), set.get("hold"), set.get("lines").intValue(),
-                id -> endedUs.putIfAbsent(id, System.nanoTime() / 1000));
-            int port = await(server.listen(0));
-            servers.add(server);
+        int listed = set.get("servers").intValue();
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < listed; i++) {
+            if (i < MOST_PROCESSES) {
+                StandInServer server = new StandInServer(vertx, set.get("work"), set.get("hold"), set.get("lines").intValue(),
+                    id -> endedUs.putIfAbsent(id, System.nanoTime() / 1000));
+                ports.add(await(server.listen(0)));
+                servers.add(server);
+            }
+            int port = ports.get(i % ports.size());
             hosts.add(new StandInNames.Host("s-" + i, "east", port, i, false, 0));
             known.append(i > 0 ? "," : "").append("{\"name\":\"s-" + i + "\",\"address\":\"127.0.0.1:" + port
                 + "\",\"zone\":\"east\",\"type\":\"std\",\"group\":" + i + ",\"status\":\"up\",\"weight\":4,\"since_ms\":0}");
@@ -73,7 +86,9 @@
             port = probe.getLocalPort();
         }
         Path config = Files.createTempFile("rush", ".json");
-        Files.writeString(config, CONFIG.formatted(port, namesPort, known));
+        Files.writeString(config, CONFIG.formatted(port, namesPort, known, set.get("sockets"),
+            numbers(set.get("peers"), i -> "\"127.1.%d.%d:7946\"".formatted(i / 250, 1 + i % 250)), numbers(listed, i -> "" + i),
+            set.get("peers")));
         ProcessBuilder builder = new ProcessBuilder(command).redirectOutput(ProcessBuilder.Redirect.INHERIT)
             .redirectError(ProcessBuilder.Redirect.INHERIT);
         builder.environment().put("RELAY_CONFIG", config.toString());
@@ -90,7 +105,7 @@
             vertx.setPeriodic(1, t -> {
                 // Open loop: what was meant for a moment past leaves now, and counts from that moment.
                 while (sent[0] < total && startUs + sent[0] * everyUs <= System.nanoTime() / 1000) {
-                    callers.call((int) (sent[0] % 2), startUs + sent[0] * everyUs);
+                    callers.call((int) (sent[0] % listed), startUs + sent[0] * everyUs);
                     sent[0]++;
                 }
                 if (sent[0] >= total && callers.standing() == 0) {
@@ -110,6 +125,10 @@
                 before = loop;
             }
             done.await(seconds + 10, TimeUnit.SECONDS);
+            String[] open = new File("/proc/" + gatekeeper.pid() + "/fd").list();
+            System.out.println("memory, kB at most: " + Files.readAllLines(Path.of("/proc/" + gatekeeper.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("VmHWM")).map(line -> line.replaceAll("\\D", "")).findFirst().orElse("not told")
+                + "; descriptors: " + (open == null ? "not told" : open.length));
             Thread.sleep(200);
             return report(callers, endedUs, before);
         } finally {
@@ -120,6 +139,10 @@
         }
     }
 
+    private static String numbers(long n, LongFunction<String> each) {
+        return LongStream.range(0, n).mapToObj(each).collect(Collectors.joining(","));
+    }
+
     private static void connect(StandInCallers callers, int port) throws Exception {
         long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
         while (true) {
--- a/src/main/java/grebewick/names/FleetPoller.java
+++ b/src/main/java/grebewick/names/FleetPoller.java
@@ -12,6 +12,7 @@
 import io.vertx.core.datagram.DatagramSocketOptions;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -72,6 +73,8 @@
     private final Set<String> drains = new HashSet<>();
     /** By server: what was told last. It serves until the name service has repeated it for a newer list. */
     private Map<String, Endpoint> told = new LinkedHashMap<>();
+    /** The last answer with the whole of list {@code serial}. */
+    private byte[] last = {};
     private int bad;
 
     /** Tells lists later than event {@code index}, at which {@code known} held. */
@@ -94,8 +97,13 @@
             if (!server.host().equals(packet.sender().hostAddress()) || server.port() != packet.sender().port()) {
                 return;
             }
+            byte[] bytes = packet.data().getBytes();
+            if (isRepeat(bytes)) {
+                open.remove((bytes[0] & 0xff) << 8 | bytes[1] & 0xff);
+                return;
+            }
             try {
-                read(new Message(packet.data().getBytes()));
+                read(new Message(bytes), bytes);
             } catch (IOException | RuntimeException e) {
                 complain("an answer that cannot be read: " + e.getMessage());
             }
@@ -162,7 +170,12 @@
         socket.send(Buffer.buffer(question.toWire()), server.port(), server.host());
     }
 
-    private void read(Message answer) {
+    /** The list that was read last, but for its id: ten times a second nothing has changed, and reading is dear. */
+    private boolean isRepeat(byte[] bytes) {
+        return last.length > 2 && drains.isEmpty() && Arrays.equals(bytes, Math.min(2, bytes.length), bytes.length, last, 2, last.length);
+    }
+
+    private void read(Message answer, byte[] bytes) {
         Record asked = open.get(answer.getHeader().getID());
         if (asked == null || !answer.getHeader().getFlag(Flags.QR) || !asked.equals(answer.getQuestion())) {
             complain("an answer to no open question");
@@ -188,6 +201,7 @@
         if (found < serial && (forList || found >= 0)) {
             return;
         }
+        last = forList ? bytes : last;
         boolean newer = forList && (found > serial || !drains.isEmpty());
         if (newer) {
             serial = found;
@@ -281,6 +295,8 @@
         long launchedUs;
         String model;
         boolean asksAddress;
+        /** Heard with this list or since. */
+        boolean sureOfAddress;
         boolean asksText = true;
 
         Target(SRVRecord srv, Target earlier, Endpoint before) {
@@ -297,10 +313,12 @@
 
         /** Takes a record of it; false: it was none that is asked for. */
         boolean hear(Record r) {
-            if (r instanceof ARecord a && (asksAddress || !a.equals(address))) {
+            if (r instanceof ARecord a) {
+                boolean heard = asksAddress || !a.equals(address);
                 address = a;
                 asksAddress = false;
-                return true;
+                sureOfAddress = true;
+                return heard;
             }
             if (r instanceof TXTRecord text && asksText) {
                 // Read before anything is changed: what makes no sense changes nothing.
@@ -310,7 +328,7 @@
                 model = fact(text, "kind", "");
                 asksText = false;
                 // Its address may be another's by now, if this is a new start.
-                asksAddress |= before != null && launchedUs > before.entry().launchedUs();
+                asksAddress |= !sureOfAddress && before != null && launchedUs > before.entry().launchedUs();
                 return true;
             }
             return false;
