--- a/src/test/java/grebewick/config/NodeConfigTest.java
+++ b/src/test/java/grebewick/config/NodeConfigTest.java
@@ -7,6 +7,8 @@
 import grebewick.diameter.DiameterConfig;
 import grebewick.play.Sites;
 import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class NodeConfigTest {
@@ -37,6 +39,17 @@
         assertThat(c.settings().familyInfo().releaseUs()).as("with its margin").isEqualTo(560_000);
     }
 
+    @Test
+    void aThousandServersAndPeersAreRead() {
+        String servers = IntStream.range(0, 1024).mapToObj(i -> ("{\"name\":\"s-%d\",\"address\":\"127.1.0.9:%d\",\"group\":%d,"
+            + "\"status\":\"up\"}").formatted(i, 5070 + i, i)).collect(Collectors.joining(","));
+        String peers = IntStream.range(0, 1024).mapToObj(i -> "\"127.3.0.1:" + (7000 + i) + "\"").collect(Collectors.joining(","));
+        NodeConfig c = NodeConfig.parse(FILE.replace("\"127.3.0.1:7946\"", peers).replaceAll("(?s)\"known\":.*\"settings\":",
+            "\"known\":{\"index\":1,\"updates\":[{\"snapshot\":true,\"endpoints\":[" + servers + "]}]},\"settings\":"), Map.of());
+        assertThat(c.peers()).hasSize(1024).last().isEqualTo(new Address("127.3.0.1", 8023));
+        assertThat(c.known()).hasSize(1024).last().satisfies(e -> assertThat(e.entry().placeNo()).isEqualTo(1023));
+    }
+
     @Test
     void whatCannotWorkIsSaidInOneLine() {
         for (String bad : new String[] {"{", "[]", FILE.replace("127.0.0.4:5070", "nowhere"), FILE.replace("Grades", "G"),
