--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -149,7 +149,8 @@
         if (connecting || !listed || usable() >= MOST && !renew || clock.nowUs() < notBeforeUs) {
             return;
         }
-        if (!quota.take(usable() == 0)) {
+        // One that follows a break is no spare one: releases come again on it alone.
+        if (!quota.take(usable() == 0 || renew)) {
             if (usable() == 0) {
                 unreached(false);
             }
--- a/src/main/java/grebewick/trunk/Quota.java
+++ b/src/main/java/grebewick/trunk/Quota.java
@@ -22,9 +22,9 @@
         return Math.max(1, Math.min(wished, forSpare() / Math.max(1, servers)));
     }
 
-    /** Takes one; {@code first}: there is none with its server. */
-    boolean take(boolean first) {
-        boolean free = open < (first ? most : forSpare());
+    /** Takes one; {@code needed}: there is none with its server, or one broke off. */
+    boolean take(boolean needed) {
+        boolean free = open < (needed ? most : forSpare());
         open += free ? 1 : 0;
         return free;
     }
