--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -21,7 +21,7 @@
 
 /** The platform's gatekeeper: callers by SIP, recipe servers by the binary protocol. All calls on one event loop. */
 public final class Node {
-    /** Connections accepted and not yet seen, the libraries' files (45 measured) and what else is no connection. */
+    /** Connections accepted and not yet seen, files (38 counted in a fleet day) and what else is no connection. */
     private static final int KEPT_BACK = Daemon.UNSEEN + 48;
     private static final int LEAST_TO_SERVERS = 16;
 
