Reckon starts at a cold server from the whole list, over the whole time between two set-ups

Nothing else reached it (no probe, one release 2 s after the fall, 240 connections). Cause: Logic.onFleet called phase() for each new server within its loop over the list, whose other entries had just been set to DEREGISTERED. usualPerS() then sums the entries seen so far: the first one looks like all there is, its ration like all own traffic, and the phase becomes 0. It shows in the order of the list: of the seven that came back, the gatekeepers that sent within 0.5 s of the news were 59, 25, 19, 5, 15, 3, 5. Beside it phase() drew from a gap less Fall and capped at Cold: at a gap of 5 s the first set-ups alone were 1.7 times all rations.

Change: phases are drawn once the list is taken in, over the whole gap. The test: 120 modules, a list of 24 with one back cold at its head: 53 set-ups in 2 s before, 2 now, 18 allowed.

--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -200,6 +200,7 @@
         if (fleet.scope() != Scope.PARTIAL) {
             servers.values().forEach(s -> s.stage = Stage.DEREGISTERED);
         }
+        List<Server> anew = new ArrayList<>();
         for (ServerEntry entry : fleet.entries()) {
             Server s = servers.get(entry.server());
             if (s == null || entry.launchedUs() > s.launchedUs) {
@@ -208,9 +209,8 @@
                     s.usualLines = before.place == s.place ? before.usualLines : s.usualLines;
                 }
                 servers.put(s.id, s);
-                usualSum = -1;
                 if (cold(s)) {
-                    phase(s);
+                    anew.add(s);
                 } else if (set.bounds().probes()) {
                     // Without a report L is at its floor, and the first would come with the first call's end.
                     out.accept(new AskLoad(s.id));
@@ -220,6 +220,8 @@
             s.zone = entry.zone();
         }
         usualSum = -1;
+        // Not before the list is taken in whole: a part is one of all that are listed.
+        anew.forEach(this::phase);
         serveHeld();
     }
 
@@ -662,10 +664,14 @@
             && (whole >= 1 ? within(s.sends, set.rules().fallUs()) < whole : nowUs - s.sentUs >= 1e6 / perS);
     }
 
-    /** Gateways that learn of a cold server together start at it one after the other. */
+    /**
+     * Gateways that learn of a cold server together start at it one after the other, over the whole time
+     * between two set-ups: in any less the first ones alone would be more than all rations together.
+     */
     private void phase(Server s) {
-        double gapUs = Math.min(1e6 / rationPerS(s), set.rules().coldUs()) - set.rules().fallUs();
-        s.rationFromUs = nowUs + (long) (random.nextDouble() * Math.max(0, gapUs));
+        double perS = rationPerS(s);
+        boolean spaced = perS * set.rules().fallUs() < 1e6;
+        s.rationFromUs = nowUs + (spaced ? (long) (random.nextDouble() * 1e6 / perS) : 0);
     }
 
     /** How many of the times lie in the window that ends now; older ones are dropped. */
--- a/src/test/java/grebewick/core/FleetTest.java
+++ b/src/test/java/grebewick/core/FleetTest.java
@@ -92,6 +92,32 @@
         }
     }
 
+    /** Guards against rations reckoned before the list is taken in whole, when the first in it seem to be all there are. */
+    @Test
+    void whoComesBackColdAtTheHeadOfALongListIsNotSetUponByAllAtOnce() {
+        int sent = 0;
+        for (int g = 0; g < 120; g++) {
+            List<ServerEntry> list = new ArrayList<>();
+            for (int i = 0; i < 24; i++) {
+                list.add(up("s" + (char) ('z' - i), i % 3));
+            }
+            Rig rig = new Rig(sized(120), 100 + g, list.toArray(ServerEntry[]::new)).settled();
+            for (int i = 0; i < 12; i++) {
+                rig.stands(attempt(rig.offer(i % 3), null));
+                rig.pass(SECOND / 2);
+            }
+            list.set(0, at("sz", 0, Stage.HEALTHY, rig.nowUs));
+            long before = rig.attempts("sz");
+            rig.feed(new Fleet(Scope.COMPLETE, 2, list));
+            for (int i = 0; i < 20; i++) {
+                rig.offer(0);
+                rig.pass(SECOND / 10);
+            }
+            sent += rig.attempts("sz") - before;
+        }
+        assertTrue(sent <= 18, "120 gateways sent " + sent + ", with 3 times 0.3 of 10 a second allowed");
+    }
+
     @Test
     void aServerThatCutStandingCallsIsRationedBeforeTheListTellsOfItsRestart() {
         List<Rig> fleet = warmedUp(250);
