Let two scenarios wait for what the program must have seen before time moves

The hand-driven clock moved before the program had read d's 200, or seen that p1 had closed: its timers then began after the move. Both scenarios now wait for a sign of it, and a third that could fall to the same (a client that closes) too.

--- a/src/test/java/grebewick/RestartTest.java
+++ b/src/test/java/grebewick/RestartTest.java
@@ -208,6 +208,8 @@
             d < BYE 03 41
             d < 200 OPTIONS 78
             d > 200 BYE 03
+            d > OPTIONS 79
+            d < 200 OPTIONS 79
             wait 500
             d has no more""");
     }
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -294,7 +294,7 @@
             c > STR s
             c < STA s 2001
             p1 < STR s
-            p1 closes""");
+            p1 closes""").until(() -> logged("p1 OKAY -> DOWN"));
         assertThat(s.on(() -> node.owed())).isEqualTo(1);
         s.play("""
             wait 1000
@@ -312,7 +312,7 @@
             p1 < AAR s
             p1 > AAA s 2001
             c < AAA s 2001
-            c closes
+            c closes""").until(() -> logged("client c OKAY -> DOWN")).play("""
             p1 > ASR s
             p1 < ASA s 2001
             p1 < STR s
