Large fleets: a cold server gets ColdFrom of what its place took from the first set-up on

Cause: a gatekeeper's ration is its part of usual calls, with the mean for a server whose record went with its zone; at 100 gatekeepers that is one set-up in 20 s, and only its own first answer told it of a large server (100 to 300 a second). Change: what the place took counts as told, times ColdFrom, where one set-up of each gatekeeper is much; the shares bind it.

--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -30,8 +30,7 @@
     private static final double TURN_PART = 0.5;
     /** Times Cold that a place keeps its size without a server (ours: longer than a crash lasts). */
     private static final int KEPT_COLDS = 4;
-    /** Ticks in a Td (ours: how closely ages of open set-ups are watched). */
-    private static final int TICKS_IN_TD = 8;
+    private static final int TICKS_IN_TD = 8; // (ours: how closely ages of open set-ups are watched)
     private static final int STALL_TICKS = 3; // without a turn: stood still (ours: more than one late tick)
     private static final int LOG_LINES = 30; // in a life (ours: bounded)
     /** Parts of the usual lines in use: above, a server has not died, below, it has (ours: far apart). */
@@ -661,8 +660,8 @@
     /**
      * Set-ups a second that this gateway sends a server that may be cold: a part of what is usual there. The
      * part rises from ColdFrom to one in the time Cold, but not past the allowed multiple of what the server
-     * can surely do: ColdFrom, or what it reports. Over all gateways that stays below the fall limit. It also
-     * lets a jammed server work off its queue. Could starve one where own traffic has just grown.
+     * can surely do: ColdFrom, what it reports, or took before. Over all gateways that stays below the fall
+     * limit. It lets a jammed server work off its queue. Could starve one where own traffic has just grown.
      */
     private double rationPerS(Server s) {
         double usual = usualPerS(s);
@@ -672,7 +671,8 @@
         Rules rules = set.rules();
         double age = proved(s) ? (nowUs - coldSinceUs(s)) / Math.max(1.0, rules.coldUs()) : 0;
         double ramp = rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, age);
-        double told = s.canTake < 0 ? 0 : s.canTake / set.replicasOfMe() / usual;
+        double known = spread(s) ? rules.coldFrom() * s.takes : 0;
+        double told = Math.max(s.canTake, known) / set.replicasOfMe() / usual;
         double sure = RATION_PART * rules.overloadFactor() * Math.max(rules.coldFrom(), told);
         return Math.min(usual * Math.min(Math.max(ramp, RATION_PART * told), sure), sharePerS(s));
     }
@@ -684,8 +684,8 @@
      */
     private double sharePerS(Server s) {
         sumUp();
-        Rules rules = set.rules();
         double takes = s.takes > 0 ? s.takes : leastTakes;
+        Rules rules = set.rules();
         double windowS = Math.max(1, rules.fallUs()) / 1e6;
         double surely = Math.max(rules.coldFrom() * takes, s.downSeen ? 0 : s.canTake);
         double most = rules.overloadFactor() * windowS * surely;
