--- a/src/test/java/grebewick/core/FleetTest.java
+++ b/src/test/java/grebewick/core/FleetTest.java
@@ -9,6 +9,7 @@
 
 import grebewick.core.CallControl.*;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
@@ -157,6 +158,35 @@
         }
     }
 
+    /** Guards against large servers left idle: a hundred gateways each learn of its size only by their own first set-up. */
+    @Test
+    void aLargeServerThatComesBackColdHasWorkFromAllAtOnceAndNoMoreThanItsBudget() {
+        int sent = 0;
+        for (int g = 0; g < 120; g++) {
+            ServerEntry[] list = new ServerEntry[24];
+            Arrays.setAll(list, i -> up("s" + (char) ('a' + i), i % 3));
+            Rig rig = new Rig(settings("pools", "push", "retryable", 120, FACTOR, List.of("free", "size", "can_take")),
+                100 + g, list);
+            for (int i = 0; i < 24; i++) {
+                for (ServerEntry e : list) {
+                    rig.feed(new Checked(State.OK, e.server(), 0, List.of(-1.0, -1.0, e == list[23] ? 200.0 : 40.0)));
+                }
+                rig.stands(attempt(rig.offer(i % 3), null));
+                rig.pass(SECOND / 2);
+            }
+            list[23] = at("sx", 2, Stage.HEALTHY, rig.nowUs);
+            rig.feed(new Fleet(Scope.COMPLETE, 2, List.of(list)));
+            long before = rig.attempts("sx");
+            for (int i = 0; i < 40; i++) {
+                rig.offer(2);
+                rig.pass(SECOND / 10);
+            }
+            sent += rig.attempts("sx") - before;
+        }
+        double can = 4 * COLD_FROM * 200;
+        assertTrue(sent >= can / 4 && sent <= can, sent + " in 4 s, of " + can);
+    }
+
     @Test
     void aServerThatCutStandingCallsIsRationedBeforeTheListTellsOfItsRestart() {
         List<Rig> fleet = warmedUp(250);
