--- a/src/test/java/grebewick/core/LogicTest.java
+++ b/src/test/java/grebewick/core/LogicTest.java
@@ -509,7 +509,7 @@
     @Test
     void theModuleKeepsItsSizeAndColumns() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/grebewick/core/Logic.java"));
-        assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 950);
+        assertTrue(lines.size() <= 950, lines.size() + " lines");
         lines.forEach(l -> assertTrue(l.length() <= 110, l));
         assertTrue(lines.stream().limit(30).anyMatch(l -> l.contains("CallControl.java")));
     }
