--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -20,24 +20,18 @@
     private static final double SMOOTH = 0.2;
     /** Part of the cold budget that is used (ours: margin for chance, repeats and unequal gateways). */
     private static final double RATION_PART = 0.8;
-    /** The same where set-ups that wait are sent again within the fall time (ours: half is for repeats). */
-    private static final double REPEAT_PART = 0.5;
-    /** Roots of its mean that what arrives of many gateways may lie above it (ours: seldom more). */
-    private static final double CHANCE = 3;
-    /** Own set-ups in a fall time from which on a gateway need not heed when others send (ours: several). */
-    private static final double MANY = 2;
-    /** Part of the fall time that a turn at a cold server lasts (ours: short, and longer than a tick). */
-    private static final double TURN_PART = 0.5;
-    /** Times Cold that a place keeps its size without a server (ours: longer than a crash lasts). */
-    private static final int KEPT_COLDS = 4;
-    private static final int TICKS_IN_TD = 8; // (ours: how closely ages of open set-ups are watched)
-    private static final int STALL_TICKS = 3; // without a turn: stood still (ours: more than one late tick)
-    private static final int LOG_LINES = 30; // in a life (ours: bounded)
+    /** Ticks in a Td (ours: how closely ages of open set-ups are watched). */
+    private static final int TICKS_IN_TD = 8;
+    /** Ticks without a turn after which this gateway stood still (ours: more than a tick that came late). */
+    private static final int STALL_TICKS = 3;
+    /** Log lines in a life (ours: bounded). */
+    private static final int LOG_LINES = 30;
     /** Parts of the usual lines in use: above, a server has not died, below, it has (ours: far apart). */
     private static final double STILL_UP = 0.5;
     private static final double GONE_DOWN = 0.1;
     private static final int OFF = Integer.MAX_VALUE;
-    private static final long TICK = 1L << 52; // the periodic reminder; call ids are below it
+    /** Name of the periodic reminder; call ids are below it. */
+    private static final long TICK = 1L << 52;
 
     private final Settings set;
     private final Random random;
@@ -48,8 +42,6 @@
     private final Map<Long, Out> outs = new HashMap<>();
     private final Set<Long> standing = new HashSet<>();
     private final Map<String, Long> firstTries = new LinkedHashMap<>();
-    /** What each place took while warm, for the next server there. */
-    private final Map<Integer, Taken> taken = new TreeMap<>();
     private final Map<String, Throttle> numbers = new TreeMap<>();
     private final long tdUs;
     private final long holdUs;
@@ -62,7 +54,6 @@
     /** Usual lines of all servers and of one; negative: not summed up since they changed. */
     private double usualSum = -1;
     private double usualMean;
-    private double leastTakes; // of all servers, as far as known
     private long nowUs;
     private Consumer<Action> out;
     private boolean running;
@@ -209,7 +200,6 @@
         if (fleet.scope() != Scope.PARTIAL) {
             servers.values().forEach(s -> s.stage = Stage.DEREGISTERED);
         }
-        List<Server> anew = new ArrayList<>();
         for (ServerEntry entry : fleet.entries()) {
             Server s = servers.get(entry.server());
             if (s == null || entry.launchedUs() > s.launchedUs) {
@@ -217,11 +207,8 @@
                 for (Server before : servers.values()) {
                     s.usualLines = before.place == s.place ? before.usualLines : s.usualLines;
                 }
-                s.takes = taken.getOrDefault(s.place, new Taken(-1, 0)).perS;
                 servers.put(s.id, s);
-                if (cold(s)) {
-                    anew.add(s);
-                } else if (set.bounds().probes()) {
+                if (!cold(s) && set.bounds().probes()) {
                     // Without a report L is at its floor, and the first would come with the first call's end.
                     out.accept(new AskLoad(s.id));
                 }
@@ -230,8 +217,8 @@
             s.zone = entry.zone();
         }
         usualSum = -1;
-        // Not before the list is taken in whole: a part is one of all that are listed.
-        anew.forEach(this::phase);
+        // Not within the loop: a server's part is one of all that are listed.
+        servers.values().stream().filter(s -> s.rationFromUs == Long.MIN_VALUE && cold(s)).forEach(this::phase);
         serveHeld();
     }
 
@@ -413,10 +400,6 @@
                 double lines = s.size - s.free;
                 s.usualLines = s.usualLines < 0 ? lines : s.usualLines + SMOOTH * (lines - s.usualLines);
             }
-            if (s.stage == Stage.HEALTHY && !perhapsCold(s) && s.canTake >= 0) {
-                s.takes = Math.max(s.canTake, s.takes + SMOOTH * (s.canTake - s.takes));
-                taken.put(s.place, new Taken(s.takes, nowUs));
-            }
             // No evidence, no end of control: a gateway that sends little may have no outcome in an interval.
             boolean on = s.overloaded || cold(s);
             s.limit = nextLimit(s.limit, s.completed, s.targetUs(), tauUs, on, s.bound);
@@ -432,7 +415,6 @@
         double part = totalPerS < 0 ? 1 : sum > totalPerS ? 0.5 : sum > 0 ? 0.25 : 0;
         totalPerS = Math.max(0, totalPerS) + part * (sum - Math.max(0, totalPerS));
         usualSum = -1;
-        taken.values().removeIf(t -> nowUs - t.atUs > KEPT_COLDS * set.rules().coldUs());
         servers.values().removeIf(s -> s.stage == Stage.DEREGISTERED && s.open.isEmpty());
         for (Throttle n : numbers.values()) {
             n.limit = nextLimit(n.limit, n.completed, tdUs, tauUs, n.overloaded, true);
@@ -480,7 +462,7 @@
         for (Server s : allowed) {
             first = s.place == p.call.farEnd() ? s : first;
         }
-        if (first != null && room(first, late(p), true)) {
+        if (first != null && room(first, late(p))) {
             send(p, first);
             return;
         }
@@ -562,7 +544,7 @@
      * Whether the server is under its limit, one where it is not proved sound again. A call that is late gets
      * no slot under control, where it would cost one in time; harms where late calls earn much.
      */
-    private boolean room(Server s, boolean late, boolean first) {
+    private boolean room(Server s, boolean late) {
         if (late && s.limit != OFF) {
             return false;
         }
@@ -571,7 +553,7 @@
             s.bound = true;
             return false;
         }
-        return usable(s) && rationLeft(s, first) && linesLeft(s, late ? 2 : 1);
+        return usable(s) && rationLeft(s) && linesLeft(s, late ? 2 : 1);
     }
 
     /**
@@ -632,108 +614,57 @@
      * few at one server are noise; lines in use are what all gateways set up. Without reports all are alike.
      */
     private double usualPerS(Server s) {
-        sumUp();
+        if (usualSum < 0) {
+            int known = 0;
+            int all = 0;
+            usualSum = 0;
+            for (Server other : servers.values()) {
+                boolean counts = other.stage == Stage.HEALTHY && other.usualLines >= 0;
+                all += other.stage == Stage.HEALTHY ? 1 : 0;
+                known += counts ? 1 : 0;
+                usualSum += counts ? Math.max(1, other.usualLines) : 0;
+            }
+            usualMean = known == 0 ? 1 : usualSum / known;
+            usualSum += (all - known) * usualMean;
+        }
         double own = s.usualLines < 0 ? usualMean : Math.max(1, s.usualLines);
         return totalPerS * own / Math.max(own, usualSum);
     }
 
-    private void sumUp() {
-        if (usualSum >= 0) {
-            return;
-        }
-        int known = 0;
-        int all = 0;
-        usualSum = 0;
-        leastTakes = Double.MAX_VALUE;
-        for (Server s : servers.values()) {
-            boolean counts = s.stage == Stage.HEALTHY && s.usualLines >= 0;
-            all += s.stage == Stage.HEALTHY ? 1 : 0;
-            known += counts ? 1 : 0;
-            usualSum += counts ? Math.max(1, s.usualLines) : 0;
-            double takes = perhapsCold(s) ? s.takes : Math.max(s.takes, s.canTake);
-            leastTakes = takes > 0 ? Math.min(leastTakes, takes) : leastTakes;
-        }
-        usualMean = known == 0 ? 1 : usualSum / known;
-        usualSum += (all - known) * usualMean;
-    }
-
     /**
      * Set-ups a second that this gateway sends a server that may be cold: a part of what is usual there. The
      * part rises from ColdFrom to one in the time Cold, but not past the allowed multiple of what the server
-     * can surely do: ColdFrom, what it reports, or took before. Over all gateways that stays below the fall
-     * limit. It lets a jammed server work off its queue. Could starve one where own traffic has just grown.
+     * can surely do: ColdFrom, or what it reports. Over all gateways that stays below the fall limit. It also
+     * lets a jammed server work off its queue. Could starve one where own traffic has just grown.
      */
     private double rationPerS(Server s) {
         double usual = usualPerS(s);
         if (usual <= 0) {
-            return Math.min(1e6 / (cold(s) ? Math.max(TAU_US, set.rules().coldUs()) : TAU_US), sharePerS(s));
+            return 1e6 / TAU_US;
         }
         Rules rules = set.rules();
         double age = proved(s) ? (nowUs - coldSinceUs(s)) / Math.max(1.0, rules.coldUs()) : 0;
         double ramp = rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, age);
-        double known = spread(s) ? rules.coldFrom() * s.takes : 0;
-        double told = Math.max(s.canTake, known) / set.replicasOfMe() / usual;
+        double told = s.canTake < 0 ? 0 : s.canTake / set.replicasOfMe() / usual;
         double sure = RATION_PART * rules.overloadFactor() * Math.max(rules.coldFrom(), told);
-        return Math.min(usual * Math.min(Math.max(ramp, RATION_PART * told), sure), sharePerS(s));
+        return usual * Math.min(Math.max(ramp, RATION_PART * told), sure);
     }
 
-    /**
-     * An equal share of what all may send a cold server, whatever their traffic, which is no measure of what
-     * a server can: of what was taken at its place, or the least known of any, or what it reports. Leaves
-     * room for chance, which weighs where few are allowed, and for repeats. Could hold back much traffic.
-     */
-    private double sharePerS(Server s) {
-        sumUp();
-        double takes = s.takes > 0 ? s.takes : leastTakes;
-        Rules rules = set.rules();
-        double windowS = Math.max(1, rules.fallUs()) / 1e6;
-        double surely = Math.max(rules.coldFrom() * takes, s.downSeen ? 0 : s.canTake);
-        double most = rules.overloadFactor() * windowS * surely;
-        if (takes == Double.MAX_VALUE || most <= 0 || !cold(s) && !s.downSeen) {
-            return Double.MAX_VALUE;
-        }
-        // The mean that, CHANCE roots of it added, is the most.
-        double root = (Math.sqrt(CHANCE * CHANCE + 4 * most) - CHANCE) / 2;
-        double share = Math.min(RATION_PART * most, root * root) / set.replicasOfMe();
-        long resendUs = set.familyInfo().resendUs();
-        // With several in a window a gateway sees its own wait, and stops; with fewer it learns too late.
-        boolean repeats = resendUs > 0 && resendUs < rules.fallUs() && share < MANY;
-        return (repeats ? Math.min(share, REPEAT_PART * most / set.replicasOfMe()) : share) / windowS;
-    }
-
-    /**
-     * Counts a whole ration in each window of the fall time; one below a set-up is kept by spacing. Calls of
-     * another first choice take a turn when it comes or not at all: where many servers are lost they press on
-     * all others at one moment, and turns saved up by all gateways would go together.
-     */
-    private boolean rationLeft(Server s, boolean first) {
+    /** Counts a whole ration in each window of the fall time; one below a set-up is kept by spacing. */
+    private boolean rationLeft(Server s) {
         if (!perhapsCold(s)) {
             return true;
         }
-        double gapUs = 1e6 / rationPerS(s);
-        long fallUs = set.rules().fallUs();
-        if (gapUs <= fallUs) {
-            return within(s.sends, fallUs) < (int) (fallUs / gapUs);
-        }
-        long sinceUs = nowUs - s.rationFromUs;
-        boolean turn = first || !spread(s) || sinceUs % gapUs < fallUs * TURN_PART;
-        return turn && sinceUs >= 0 && nowUs - s.sentUs >= gapUs;
+        double perS = rationPerS(s);
+        int whole = (int) (perS * set.rules().fallUs() / 1e6);
+        return nowUs >= s.rationFromUs
+            && (whole >= 1 ? within(s.sends, set.rules().fallUs()) < whole : nowUs - s.sentUs >= 1e6 / perS);
     }
 
-    /**
-     * Gateways that learn of a cold server together start at it one after the other, over the whole time
-     * between two set-ups: in any less the first ones alone would be more than all rations together.
-     */
+    /** Gateways told together start one after the other, over a whole gap: in less they are too many. */
     private void phase(Server s) {
-        double gapUs = spread(s) ? Math.min(1e6 / rationPerS(s), Integer.MAX_VALUE) : 0;
-        s.rationFromUs = nowUs + (long) (random.nextDouble() * gapUs);
-    }
-
-    /** Whether one set-up of each gateway in the same fall time may be more than half of their shares. */
-    private boolean spread(Server s) {
-        double share = sharePerS(s);
-        boolean few = share == Double.MAX_VALUE || share * set.rules().fallUs() < MANY * 1e6;
-        return few && (cold(s) || s.downSeen);
+        double gapUs = Math.min(1e6 / rationPerS(s), Integer.MAX_VALUE);
+        s.rationFromUs = nowUs + (long) (random.nextDouble() * (gapUs > set.rules().fallUs() ? gapUs : 0));
     }
 
     /** How many of the times lie in the window that ends now; older ones are dropped. */
@@ -749,7 +680,7 @@
         Server drawn = null;
         double sum = 0;
         for (Server s : allowed) {
-            if (s != but && room(s, late, false)) {
+            if (s != but && room(s, late)) {
                 sum += weight(s);
                 drawn = random.nextDouble() * sum <= weight(s) ? s : drawn;
             }
@@ -920,7 +851,7 @@
         boolean bound;
         long stoodSentUs = Long.MIN_VALUE;
         long sentUs = -TAU_US;
-        long rationFromUs;
+        long rationFromUs = Long.MIN_VALUE;
         boolean refuted;
         double delayUs;
         long transitUs = Long.MAX_VALUE;
@@ -934,7 +865,6 @@
         int takenSinceTold;
         double size = -1;
         double canTake = -1;
-        double takes = -1; // lately and at the most, while warm
         double queue = -1;
 
         Server(String id, int place, long launchedUs) {
@@ -992,8 +922,6 @@
         long pausedUntilUs = Long.MIN_VALUE;
     }
 
-    private record Taken(double perS, long atUs) { }
-
     private record Out(Server server, int copy, long sentUs, String item) { }
 
     private final class Pending {
