--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -30,6 +30,7 @@
     private static final double STILL_UP = 0.5;
     private static final double GONE_DOWN = 0.1;
     private static final int OFF = Integer.MAX_VALUE;
+    private static final long UNPHASED = Long.MIN_VALUE;
     /** Name of the periodic reminder; call ids are below it. */
     private static final long TICK = 1L << 52;
 
@@ -218,7 +219,7 @@
         }
         usualSum = -1;
         // Not within the loop: a server's part is one of all that are listed.
-        servers.values().stream().filter(s -> s.rationFromUs == Long.MIN_VALUE && cold(s)).forEach(this::phase);
+        servers.values().stream().filter(s -> s.rationFromUs == UNPHASED && cold(s)).forEach(this::phase);
         serveHeld();
     }
 
@@ -851,7 +852,7 @@
         boolean bound;
         long stoodSentUs = Long.MIN_VALUE;
         long sentUs = -TAU_US;
-        long rationFromUs = Long.MIN_VALUE;
+        long rationFromUs = UNPHASED;
         boolean refuted;
         double delayUs;
         long transitUs = Long.MAX_VALUE;
