SIGHUP at the start, an end by the clock, settings that cannot work: refused or held to

Seen, on, `run` of the deploy file started by hand, one play each: - SIGHUP 0.1, 0.2, 0.3 and 0.4 s after the start: exit 129. Signals.on was called in Daemon.start, after the configuration was read and Vert.x made; until then the JVM's own handler ends the process. From 0.6 s on it was read anew. Main now takes the signal first and Reload keeps it until there is something to reload. - Grades.GoalTime 0: "uncaught: IllegalArgumentException", and a process that stays and serves nothing, as Logic was first made on the event loop. NodeConfig and DiameterConfig now make one while reading: one line, exit 2, and on SIGHUP the old one stays. - Leave took 20 ms off its time for each look, however late the look came: timers are rounded up to whole milliseconds and WholeMillis sleeps up to one more, so that 150 looks of 3 s add up to the 200 ms that are kept back for answers, and any load to more; it also began to count when the loop heard of the signal. It now goes by the clock, from the signal. Ruled out: SIGTERM 0.1 to 1.0 s after the start and three times in a row end orderly. Left: SIGHUP before the JVM runs its first class still ends it (about 0.1 s); a shell's trap cannot help, as a JVM keeps an ignored SIGHUP ignored. Tests: SignalsTest, LoopTest, NodeConfigTest; each fails without its mend.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -18,8 +18,8 @@
 
 /** The process: one event loop, the fronts that the configuration names, and their end. */
 final class Daemon {
-    /** ms. How long after SIGTERM calls still come in and are taken. */
-    private static final long STILL_COMING_MS = 700;
+    /** us. How long after SIGTERM calls still come in and are taken. */
+    private static final long STILL_COMING_US = 700_000;
     /** us. A planned restart waits for the longest deadline, counted as this where it is longer. */
     private static final long LONGEST_US = 3_000_000;
 
@@ -30,7 +30,8 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private Node node;
     private DiameterNode diameter;
-    private Timers timers;
+    private final Clock clock;
+    private final Timers timers;
     private long longestUs;
 
     private Daemon(int mostAccepted) {
@@ -39,27 +40,27 @@
             // The file system is read-only.
             .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
             .withTransport(new BoundedAccept(mostAccepted)).build();
+        // Monotonic, and the Unix time at the start: so the list's Unix times need no second conversion.
+        long zeroUs = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
+        clock = () -> zeroUs + System.nanoTime() / 1000;
+        timers = (us, task) -> {
+            long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
+            return () -> vertx.cancelTimer(id);
+        };
     }
 
     /** Either configuration may be null, not both. */
-    static void start(NodeConfig config, DiameterConfig diameter, Map<String, String> env) {
+    static void start(NodeConfig config, DiameterConfig diameter, Map<String, String> env, Reload reload) {
         int sockets = config == null ? NodeConfig.SOCKETS : config.sockets();
         Daemon daemon = new Daemon(SipFront.mostLines(sockets) + UNSEEN);
         daemon.vertx.exceptionHandler(e -> log("uncaught: " + e));
         daemon.vertx.getOrCreateContext().runOnContext(v -> daemon.run(config, diameter));
-        Signals.on("HUP", () -> daemon.reload(env));
+        reload.ready(() -> daemon.reload(env));
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::terminate, "sigterm"));
     }
 
     private void run(NodeConfig config, DiameterConfig second) {
         longestUs = Math.max(config == null ? 0 : longestUs(config.settings()), second == null ? 0 : second.requestUs());
-        // Monotonic, and the Unix time at the start: so the list's Unix times need no second conversion.
-        long zeroUs = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
-        Clock clock = () -> zeroUs + System.nanoTime() / 1000;
-        timers = (us, task) -> {
-            long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
-            return () -> vertx.cancelTimer(id);
-        };
         if (config != null) {
             node = new Node(vertx, config, clock, timers, Daemon::log);
             new LoopWatch(clock, timers, this::work, Daemon::log).start();
@@ -72,8 +73,8 @@
         }
     }
 
-    /** SIGHUP: one at a time, in order of arrival. A file that cannot work leaves everything as it was. */
-    private synchronized void reload(Map<String, String> env) {
+    /** A file that cannot work leaves everything as it was. */
+    private void reload(Map<String, String> env) {
         if (!env.containsKey("RELAY_CONFIG")) {
             log("SIGHUP: there is no RELAY_CONFIG to read anew");
             return;
@@ -91,8 +92,12 @@
         Runtime.getRuntime().halt(2);
     }
 
-    /** SIGTERM: tests fail at once, calls are taken while they still come, and all that was taken is seen to its end. */
+    /**
+     * SIGTERM: tests fail at once, calls are taken while they still come, and all that was taken is seen to its end. The
+     * time that the process has counts from the signal, however late the loop hears of it.
+     */
     private void terminate() {
+        long toldUs = clock.nowUs();
         vertx.runOnContext(v -> {
             if (node != null) {
                 node.failTests();
@@ -100,12 +105,12 @@
             if (diameter != null) {
                 diameter.stop();
             }
-            vertx.setTimer(STILL_COMING_MS, t -> {
+            timers.after(toldUs + STILL_COMING_US - clock.nowUs(), () -> {
                 if (node != null) {
                     node.refuseCalls();
                 }
-                new Leave(timers, Math.min(longestUs, LONGEST_US), this::debts, this::work, Daemon::log, this::answerAll,
-                    this::leave).start();
+                new Leave(clock, timers, toldUs + STILL_COMING_US + Math.min(longestUs, LONGEST_US), this::debts, this::work,
+                    Daemon::log, this::answerAll, this::leave).start();
             });
         });
         try {
--- a/src/main/java/grebewick/Leave.java
+++ b/src/main/java/grebewick/Leave.java
@@ -1,5 +1,6 @@
 package grebewick;
 
+import grebewick.core.Clock;
 import grebewick.core.Timers;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -16,22 +17,27 @@
     /** Looks in a row that must find nothing owed and nothing new. */
     private static final int QUIET = 2;
 
+    private final Clock clock;
     private final Timers timers;
+    private final long endUs;
     private final Supplier<Debts> debts;
     private final Supplier<Work> work;
     private final Consumer<String> log;
     private final Runnable answer;
     private final Runnable go;
-    private long leftUs;
     private boolean answered;
     private int quiet;
     private Work before;
 
-    /** {@code mostUs}: how long it may take; {@code answer} answers all that wait, {@code go} is run once, at its end. */
-    Leave(Timers timers, long mostUs, Supplier<Debts> debts, Supplier<Work> work, Consumer<String> log, Runnable answer,
-          Runnable go) {
+    /**
+     * {@code endUs}: when it has to be gone; {@code answer} answers all that wait, {@code go} is run once, at its end. By
+     * the clock: looks come late, each by up to a millisecond and more under load, and add up to more than is kept back.
+     */
+    Leave(Clock clock, Timers timers, long endUs, Supplier<Debts> debts, Supplier<Work> work, Consumer<String> log,
+          Runnable answer, Runnable go) {
+        this.clock = clock;
         this.timers = timers;
-        this.leftUs = mostUs;
+        this.endUs = endUs;
         this.debts = debts;
         this.work = work;
         this.log = log;
@@ -45,7 +51,7 @@
     }
 
     private void look() {
-        leftUs -= LOOK_US;
+        long leftUs = endUs - clock.nowUs();
         if (leftUs <= ANSWER_US && !answered && debts.get().unanswered() > 0) {
             // Guards requests with a deadline longer than the time given: none is lost with the process.
             answered = true;
--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -16,12 +16,14 @@
         switch (command) {
             case "benchlink" -> System.exit(Adapter.run());
             case "serve" -> {
+                Reload reload = new Reload();
+                Signals.on("HUP", reload::asked);
                 try {
                     Map<String, String> env = System.getenv();
                     String diameter = env.get("RELAY_DIAMETER");
                     // With a Diameter file alone there is no platform, and so no configuration of one.
                     Daemon.start(diameter != null && !env.containsKey("RELAY_CONFIG") ? null : NodeConfig.load(env),
-                        diameter == null ? null : DiameterConfig.load(diameter), env);
+                        diameter == null ? null : DiameterConfig.load(diameter), env, reload);
                 } catch (BadConfig e) {
                     System.err.println("grebewick: " + e.getMessage());
                     System.exit(2);
--- a/src/main/java/grebewick/Rehearsal.java
+++ b/src/main/java/grebewick/Rehearsal.java
@@ -56,7 +56,7 @@
         int serverPort = await(() -> server.listen(0));
         int otherPort = await(() -> other.listen(0));
         int namesPort = await(names::listen);
-        Daemon.start(NodeConfig.parse(CONFIG.formatted(port, namesPort, serverPort), Map.of()), null, Map.of());
+        Daemon.start(NodeConfig.parse(CONFIG.formatted(port, namesPort, serverPort), Map.of()), null, Map.of(), new Reload());
         names.list(List.of(new StandInNames.Host("s-1", "a", serverPort, 0, false, 0),
             new StandInNames.Host("s-2", "a", otherPort, 1, false, 0)));
         StandInCallers callers = new StandInCallers(vertx, "a", DEADLINE_MS);
--- a/src/main/java/grebewick/config/NodeConfig.java
+++ b/src/main/java/grebewick/config/NodeConfig.java
@@ -7,6 +7,7 @@
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Settings;
 import grebewick.core.CallControl.Stage;
+import grebewick.core.Logic;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -51,13 +52,16 @@
             for (Fields update : updates(news)) {
                 apply(known, update);
             }
+            Settings settings = margins(Codec.settings(f.object("settings")));
+            // Refuses here, before anything is opened or changed, what the decisions cannot work with.
+            new Logic(settings, 0);
             return new NodeConfig(env.getOrDefault("RELAY_NAME", f.string("name", "gatekeeper")),
                 Address.parse(listen), Long.parseUnsignedLong(f.string("seed", "0"), 16),
                 optional(f, "peer_listen"), peers, optional(f, "peers_all"), optional(f, "names"),
                 news.integer("index", 0), List.copyOf(known.values()),
                 f.has("limits") ? (int) f.object("limits").integer("sockets", SOCKETS) : SOCKETS,
-                margins(Codec.settings(f.object("settings"))));
-        } catch (WireException | NumberFormatException e) {
+                settings);
+        } catch (WireException | IllegalArgumentException e) {
             throw new BadConfig("RELAY_CONFIG: " + e.getMessage());
         }
     }
--- a/src/main/java/grebewick/diameter/DiameterConfig.java
+++ b/src/main/java/grebewick/diameter/DiameterConfig.java
@@ -7,6 +7,7 @@
 import grebewick.config.Address;
 import grebewick.config.BadConfig;
 import grebewick.core.CallControl.Settings;
+import grebewick.core.Logic;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -39,6 +40,7 @@
         try {
             Fields f = new Fields("diameter", Fields.asObject("diameter", Codec.parse(text)));
             Settings settings = Codec.settings(f.object("settings"));
+            new Logic(settings, 0);
             long watchdogMs = f.integer("watchdog_ms", 30_000);
             if (watchdogMs < LEAST_WATCHDOG_MS) {
                 throw new BadConfig("diameter: field watchdog_ms is under " + LEAST_WATCHDOG_MS);
@@ -50,7 +52,7 @@
                 f.integer("request_ms", 9_000) * 1000, watchdogMs * 1000, f.integer("jitter_ms", 2_000) * 1000,
                 f.integer("reconnect_ms", 30_000) * 1000, peers, settings,
                 f.has("acme") ? AcmeConfig.read(f.object("acme")) : null);
-        } catch (WireException | IndexOutOfBoundsException e) {
+        } catch (WireException | IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new BadConfig("diameter: " + e.getMessage());
         }
     }
--- a/src/test/java/grebewick/LoopTest.java
+++ b/src/test/java/grebewick/LoopTest.java
@@ -38,6 +38,24 @@
             + "82 from servers, 0 ends told");
     }
 
+    /** Guards who still waits when a process ends: every look comes 5 ms late, and its time is up all the same. */
+    @Test
+    void lateLooksDoNotPutOffTheEndOfAProcess() {
+        List<String> done = new ArrayList<>();
+        new Leave(() -> nowUs, (us, run) -> {
+            task = () -> {
+                nowUs += us + 5_000;
+                run.run();
+            };
+            return () -> { };
+        }, 3_000_000, () -> new Debts(0, done.isEmpty() ? 1 : 0, 0, 0), () -> new Work(++callers, 0, 0), log::add,
+            () -> done.add("answered at " + nowUs / 50_000), () -> done.add("gone at " + nowUs / 50_000)).start();
+        while (done.size() < 2) {
+            task.run();
+        }
+        assertThat(done).containsExactly("answered at 56", "gone at 60");
+    }
+
     /** Guards the processor: a select that is asked for less than a millisecond spins through it. */
     @Test
     void whatIsToSleepSleepsForWholeMilliseconds() {
--- a/src/test/java/grebewick/RestartTest.java
+++ b/src/test/java/grebewick/RestartTest.java
@@ -79,12 +79,12 @@
 
     private void terminate() {
         Node one = node;
-        Timers timers = s.clock;
         s.on(() -> {
             one.failTests();
-            timers.after(700_000, () -> {
+            long endUs = s.clock.nowUs() + 3_700_000;
+            s.clock.after(700_000, () -> {
                 one.refuseCalls();
-                new Leave(timers, 3_000_000, one::debts, one::work, log::add, one::answerAll, () -> ended = true).start();
+                new Leave(s.clock, s.clock, endUs, one::debts, one::work, log::add, one::answerAll, () -> ended = true).start();
             });
             return null;
         });
--- a/src/test/java/grebewick/SignalsTest.java
+++ b/src/test/java/grebewick/SignalsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 class SignalsTest {
@@ -17,4 +18,17 @@
             assertThat(heard.tryAcquire(20, TimeUnit.SECONDS)).isTrue();
         }
     }
+
+    /** Guards a gatekeeper that is asked to read its file anew while it starts: it does so once it can, and once. */
+    @Test
+    void whatIsAskedBeforeTheStartIsDoneAfterIt() {
+        AtomicInteger done = new AtomicInteger();
+        Reload reload = new Reload();
+        reload.asked();
+        reload.asked();
+        reload.ready(done::incrementAndGet);
+        assertThat(done).hasValue(1);
+        reload.asked();
+        assertThat(done).hasValue(2);
+    }
 }
--- a/src/test/java/grebewick/config/NodeConfigTest.java
+++ b/src/test/java/grebewick/config/NodeConfigTest.java
@@ -53,7 +53,8 @@
     @Test
     void whatCannotWorkIsSaidInOneLine() {
         for (String bad : new String[] {"{", "[]", FILE.replace("127.0.0.4:5070", "nowhere"), FILE.replace("Grades", "G"),
-            FILE.replace("ffffffffffffffff", "xyz")}) {
+            FILE.replace("ffffffffffffffff", "xyz"),
+            FILE.replace("\"GoalTime\":2000000", "\"GoalTime\":0"), FILE.replace("\"ReplicasOfMe\":1", "\"ReplicasOfMe\":0")}) {
             assertThatThrownBy(() -> NodeConfig.parse(bad, Map.of())).isInstanceOf(BadConfig.class)
                 .message().isNotBlank().doesNotContain("\n");
         }
