A caller's connection stays while a call of it stands: its end may have no other way

Lines now count the calls that stand on them; idle and at rest is only who has none. At the bound on descriptors one that has been idle for 6 s still goes, last of all. NodeTest.whoSaysNothingLosesTheConnectionFirst wanted the connection with a standing call closed after 6 s, which was wrong; it now wants its BYE there after 9 s, and then the close.

--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -18,6 +18,8 @@
     final long sinceUs;
     /** Set-ups that wait for their answer. */
     final Set<Object> open = new LinkedHashSet<>();
+    /** Calls that were set up on it and stand: their caller keeps it to be told of their ends. */
+    int standing;
     /** When a whole message last came. */
     long heardUs;
     /** When the message that is not whole yet began; 0: there is none. */
@@ -45,7 +47,7 @@
     }
 
     boolean rests(long nowUs) {
-        return open.isEmpty() && halfUs == 0 && nowUs - heardUs >= REST_US;
+        return standing == 0 && open.isEmpty() && halfUs == 0 && nowUs - heardUs >= REST_US;
     }
 
     void write(SipMessage m) {
--- a/src/main/java/grebewick/sip/CallerLines.java
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -13,7 +13,10 @@
 final class CallerLines implements Ways<Long, SipMessage, CallerLine> {
     /** us. In which a new connection has to say something whole, and a message that has begun has to end. */
     static final long WORD_US = 1_800_000;
-    /** us. Usual callers close a connection that is idle for 4 s; one that stays for longer is of no use. */
+    /**
+     * us. Usual callers close a connection that has carried no call for 4 s; one that stays for longer is of no use. While a
+     * call stands on it, it may be the only way on which its end can be told.
+     */
     static final long IDLE_US = 6_000_000;
 
     private final int most;
@@ -31,6 +34,7 @@
             // Not one that may just be asking again: what it has sent may not be read yet.
             victim = victim != null ? victim : eldest(l -> !l.proven && l.rests(nowUs));
             victim = victim != null ? victim : eldest(l -> l.rests(nowUs));
+            victim = victim != null ? victim : eldest(l -> l.open.isEmpty() && nowUs - l.heardUs >= IDLE_US);
             if (victim == null) {
                 line.close();
                 return;
@@ -96,7 +100,7 @@
         for (CallerLine line : List.copyOf(all)) {
             boolean silent = !line.spoke && nowUs - line.sinceUs >= WORD_US;
             boolean half = line.halfUs > 0 && nowUs - line.halfUs >= WORD_US;
-            boolean idle = line.open.isEmpty() && nowUs - line.heardUs >= IDLE_US;
+            boolean idle = line.open.isEmpty() && line.standing == 0 && nowUs - line.heardUs >= IDLE_US;
             if (silent || half || idle) {
                 line.close();
             }
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -113,7 +113,11 @@
     private void accept(NetSocket socket) {
         CallerLine line = new CallerLine(socket, clock.nowUs());
         socket.handler(bytes -> read(line, bytes));
-        socket.exceptionHandler(e -> line.close());
+        socket.exceptionHandler(e -> {
+            // Its calls are over at once: what else was read in this round must not send them on.
+            closed(line);
+            line.close();
+        });
         socket.closeHandler(v -> closed(line));
         lines.add(line);
     }
@@ -272,6 +276,7 @@
         if (s != null && s.stands) {
             spoke(on);
             sessions.remove(s.id, s);
+            s.on.standing--;
             core.releasedByCaller(s.call);
         }
     }
@@ -333,6 +338,7 @@
         public void stands(long number, byte[] description) {
             answered = true;
             stands = true;
+            on.standing++;
             on.open.remove(this);
             on.useless = 0;
             on.write(invite.response(200, "OK", description));
@@ -359,6 +365,7 @@
 
         @Override
         public void released(long number, Ending ending) {
+            on.standing--;
             sessions.remove(id, this);
             release(id, invite.header("Call-ID", invite.header("i", "")), ending, on);
         }
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -387,14 +387,18 @@
             x4 sees the end
             c > OPTIONS 77
             c < 200 OPTIONS 77
-            wait 5000
+            wait 7000
+            s2 > release 02 16
+            s2 < released 02
+            d < BYE 02 16
+            d > 200 BYE 02
+            d has no more
+            wait 6000
             d sees the end
+            c has no more
             s1 > release 01 16
             s1 < released 01
-            c < BYE 01 16
-            s2 > release 02 16
-            s2 < released 02
-            c < BYE 02 16""");
+            c < BYE 01 16""");
     }
 
     /** Guards against half a message that is never ended, and against a length that makes the sum negative. */
