A call whose caller has left is not sent on: what was chosen leaves after the input is read

Before, each of these sent a set-up for nobody: - A loop that stood still finds set-ups, CANCELs, closes and answers at once, in any order, and runs due timers first; Gatekeeper.attempt wrote at once. Now attempts wait for a whole round of reads (Rounds, through Timers.afterInput) and are dropped where the call is over, or handed back as never left where the server has begun to drain. Netty also stops a read that did not fill its buffer, so that a close behind an INVITE was seen a round later: accepted connections are now read until there is no more. An error on a connection ends its calls at once. - A set-up given up while its bytes were unwritten stayed before its release and left when the connection took bytes again (suspect Trunk.giveUp, confirmed). Set-ups no longer go to a stuck connection; they wait in Trunk, where they can be taken back, and leave on another or when it takes bytes again. Tests: LeftCallersTest, RoundsTest; without the mend each of their cases fails but those for the module, the release time and a connection that is not up, which held before.

--- a/src/main/java/grebewick/BoundedAccept.java
+++ b/src/main/java/grebewick/BoundedAccept.java
@@ -1,5 +1,6 @@
 package grebewick;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
@@ -23,8 +24,11 @@
     private final int most;
     private final AtomicInteger open = new AtomicInteger();
 
-    BoundedAccept(int most) {
+    private final Rounds rounds;
+
+    BoundedAccept(int most, Rounds rounds) {
         this.most = most;
+        this.rounds = rounds;
     }
 
     @Override
@@ -49,7 +53,7 @@
 
     @Override
     public IoHandlerFactory ioHandlerFactory() {
-        return WholeMillis.over(super.ioHandlerFactory());
+        return WholeMillis.over(super.ioHandlerFactory(), rounds);
     }
 
     @Override
@@ -69,6 +73,8 @@
             if (n > 0) {
                 open.incrementAndGet();
                 SocketChannel child = (SocketChannel) accepted.get(accepted.size() - 1);
+                // Each is read until there is no more: a caller that has left shows it behind what it last sent.
+                child.config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false));
                 // The descriptor of a closed channel goes with its loop's next select, not with the close.
                 child.closeFuture().addListener(done -> {
                     if (!child.eventLoop().isShuttingDown()) {
--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -35,18 +35,16 @@
     private long longestUs;
 
     private Daemon(int mostAccepted) {
+        Rounds rounds = new Rounds();
         vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
             .setInternalBlockingPoolSize(1)
             // The file system is read-only.
             .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
-            .withTransport(new BoundedAccept(mostAccepted)).build();
+            .withTransport(new BoundedAccept(mostAccepted, rounds)).build();
         // Monotonic, and the Unix time at the start: so the list's Unix times need no second conversion.
         long zeroUs = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
         clock = () -> zeroUs + System.nanoTime() / 1000;
-        timers = (us, task) -> {
-            long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
-            return () -> vertx.cancelTimer(id);
-        };
+        timers = rounds.timers(vertx, vertx.getOrCreateContext());
     }
 
     /** Either configuration may be null, not both. */
--- a/src/main/java/grebewick/WholeMillis.java
+++ b/src/main/java/grebewick/WholeMillis.java
@@ -17,17 +17,19 @@
     private static final long MS = 1_000_000;
 
     private final IoHandler nio;
+    private final Rounds rounds;
 
-    private WholeMillis(IoHandler nio) {
+    private WholeMillis(IoHandler nio, Rounds rounds) {
         this.nio = nio;
+        this.rounds = rounds;
     }
 
-    /** Handlers that sleep so, over those of another factory. */
-    static IoHandlerFactory over(IoHandlerFactory factory) {
+    /** Handlers that sleep so, over those of another factory, and say when a round of reads has ended. */
+    static IoHandlerFactory over(IoHandlerFactory factory, Rounds rounds) {
         return new IoHandlerFactory() {
             @Override
             public IoHandler newHandler(ThreadAwareExecutor loop) {
-                return new WholeMillis(factory.newHandler(loop));
+                return new WholeMillis(factory.newHandler(loop), rounds);
             }
 
             @Override
@@ -44,10 +46,10 @@
 
     @Override
     public int run(IoHandlerContext loop) {
-        return nio.run(new IoHandlerContext() {
+        int handled = nio.run(new IoHandlerContext() {
             @Override
             public boolean canBlock() {
-                return loop.canBlock();
+                return !rounds.waits() && loop.canBlock();
             }
 
             @Override
@@ -70,6 +72,8 @@
                 return loop.shouldReportActiveIoTime();
             }
         });
+        rounds.end();
+        return handled;
     }
 
     @Override
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -56,6 +56,8 @@
     private Runnable armed = () -> { };
     private boolean turning;
     private int unanswered;
+    /** Attempts that wait for what has come in to be read. */
+    private final ArrayDeque<Out> leaving = new ArrayDeque<>();
 
     /** {@code peers} takes a gatekeeper's number (negative: all) and at most 256 bytes for it. */
     public Gatekeeper(Settings set, CallControl module, Clock clock, Timers timers, Servers<P> servers,
@@ -108,9 +110,31 @@
         }
         long leftUs = life.dropDeadUs - nowUs;
         long waitUs = a.patienceUs() == 0 ? leftUs : Math.min(a.patienceUs(), leftUs);
-        life.out = new Out(copy, a.server(), nowUs);
+        life.out = new Out(life.id, copy, a.server(), nowUs, nowUs + waitUs);
         at(nowUs + waitUs, life.id, copy);
-        servers.setUp(life.id, copy, a.server(), life.offer, waitUs);
+        leaving.add(life.out);
+        if (leaving.size() == 1) {
+            timers.afterInput(() -> turn(this::leave));
+        }
+    }
+
+    /**
+     * What was chosen leaves. Guards against set-ups for callers that have left and to servers that drain: a loop that
+     * comes late has chosen before it has read what came in meanwhile.
+     */
+    private void leave() {
+        for (Out out = leaving.poll(); out != null; out = leaving.poll()) {
+            Life<P> life = calls.get(out.call);
+            if (life == null || life.out != out) {
+                continue;
+            }
+            if (fleet.get(out.server) != Stage.HEALTHY) {
+                end(life, State.IGNORED, 0, List.of());
+            } else {
+                out.left = true;
+                servers.setUp(out.call, out.copy, out.server, life.offer, Math.max(0, out.endUs - nowUs));
+            }
+        }
     }
 
     /** Why an attempt may not leave, or null. */
@@ -221,7 +245,9 @@
     }
 
     private void giveUp(Life<P> life, State state) {
-        servers.giveUp(life.id, life.out.copy, life.out.server);
+        if (life.out.left) {
+            servers.giveUp(life.id, life.out.copy, life.out.server);
+        }
         end(life, state, 0, List.of());
     }
 
@@ -462,7 +488,23 @@
         }
     }
 
-    private record Out(int copy, String server, long sentUs) { }
+    private static final class Out {
+        final long call;
+        final int copy;
+        final String server;
+        final long sentUs;
+        final long endUs;
+        /** The servers' side has it. */
+        boolean left;
+
+        Out(long call, int copy, String server, long sentUs, long endUs) {
+            this.call = call;
+            this.copy = copy;
+            this.server = server;
+            this.sentUs = sentUs;
+            this.endUs = endUs;
+        }
+    }
 
     /** {@code call} 0: the module's reminder; {@link #CUTS}: more calls to cut; else the end of attempt {@code name}, negative: of the call. */
     private record Wake(long atUs, long order, long call, long name) { }
--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -3,6 +3,7 @@
 import grebewick.config.Address;
 import grebewick.core.Clock;
 import grebewick.core.Timers;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
@@ -69,6 +70,8 @@
     private long notBeforeUs = Long.MIN_VALUE;
     private int mute;
     private boolean unreachable;
+    /** A set-up found no connection that took it. */
+    private boolean starved;
     /** A connection broke off: what was on its way to here comes again on the next one to be opened, and only there. */
     private boolean renew;
 
@@ -85,11 +88,14 @@
         this.log = log;
     }
 
-    /** The connection for a new set-up: the least loaded, of these the one used last. Null: none is up. */
+    /**
+     * The connection for a new set-up: the least loaded, of these the one used last. Null: none is up that takes one now.
+     * What a stuck one held could not be taken back from it, if its caller left or its server drained.
+     */
     Link pick() {
         Link best = null;
         for (Link link : links) {
-            if (!link.retired && (best == null || link.open() < best.open()
+            if (takes(link) && (best == null || link.open() < best.open()
                     || link.open() == best.open() && link.usedUs > best.usedUs)) {
                 best = link;
             }
@@ -97,9 +103,19 @@
         if (best == null || best.open() > 0 && usable() < MOST) {
             connect();
         }
+        starved = best == null;
         return best;
     }
 
+    private static boolean takes(Link link) {
+        return !link.retired && !link.isStuck();
+    }
+
+    /** Whether a set-up could leave now. */
+    boolean takesNow() {
+        return links.stream().anyMatch(Line::takes);
+    }
+
     private int usable() {
         int n = 0;
         for (Link link : links) {
@@ -108,13 +124,9 @@
         return n;
     }
 
-    /** No connection is up, and none came up when it was last tried. */
+    /** No connection takes a set-up, and none came up when it was last tried. */
     boolean isUnreachable() {
-        return unreachable && !isUp();
-    }
-
-    boolean isUp() {
-        return usable() > 0;
+        return unreachable && !takesNow();
     }
 
     /** The list has it and does not call it draining. */
@@ -216,7 +228,7 @@
     void drop(Link link) {
         link.broken = true;
         closed(link);
-        link.socket.close();
+        link.abort();
     }
 
     /**
@@ -284,6 +296,11 @@
         return links.contains(link);
     }
 
+    /** Sends a set-up on a connection that was picked for it; {@code sent} is run once the network has it. */
+    void sendSetUp(Link link, TrunkMessage message, Runnable sent) {
+        write(link, message).onSuccess(v -> sent.run());
+    }
+
     /** Sends on the connection given, or else on another, or on the next one to come up. */
     void send(Link on, TrunkMessage message) {
         Link link = on != null && links.contains(on) ? on : null;
@@ -300,14 +317,18 @@
         }
     }
 
-    private void write(Link link, TrunkMessage message) {
+    private Future<Void> write(Link link, TrunkMessage message) {
         if (link.socket.writeQueueFull() && ++link.stuck > BACKLOG / TrunkCodec.MOST) {
             log.accept("trunk " + id + ": closed, as it takes nothing any more");
             drop(link);
-            return;
+            return Future.failedFuture("stuck");
         }
         link.stuck = link.socket.writeQueueFull() ? link.stuck : 0;
-        link.socket.write(TrunkCodec.encode(message));
+        return link.socket.write(TrunkCodec.encode(message)).onSuccess(v -> {
+            if (starved && takes(link)) {
+                owner.up(this);
+            }
+        });
     }
 
     /** Releases that wait for a connection. */
@@ -325,6 +346,9 @@
             if (link.halfUs > 0 && nowUs - link.halfUs >= HALF_US) {
                 log.accept("trunk " + id + ": closed, as it stopped in the middle of a message");
                 drop(link);
+            } else if (link.orphan && link.isStuck()) {
+                // It got stuck just after.
+                dropOrphan(link);
             } else if (link.legs.isEmpty()
                     && (link.retired || usable() > quota.spare(SPARE) && nowUs - link.usedUs >= UNUSED_US)) {
                 finish(link);
@@ -332,6 +356,22 @@
         }
     }
 
+    /**
+     * A set-up of this connection was given up. Guards against its being sent on much later, when the connection takes
+     * bytes again: they can't be taken back from it, nor those that left before, but half a set-up is none.
+     */
+    void orphan(Link link) {
+        link.orphan = true;
+        if (link.isStuck()) {
+            dropOrphan(link);
+        }
+    }
+
+    private void dropOrphan(Link link) {
+        log.accept("trunk " + id + ": closed, as it did not take a set-up that was given up since");
+        drop(link);
+    }
+
     void closeIdle() {
         List.copyOf(links).forEach(this::finish);
     }
--- a/src/main/java/grebewick/trunk/Link.java
+++ b/src/main/java/grebewick/trunk/Link.java
@@ -28,6 +28,8 @@
     /** When it was last given a set-up. */
     long usedUs;
     int stuck;
+    /** A set-up was given up whose bytes had not been taken by the network. */
+    boolean orphan;
 
     Link(NetSocket socket, long nowUs) {
         this.socket = socket;
@@ -42,6 +44,17 @@
         return waiting == null ? 0 : waiting.totalPendingWriteBytes();
     }
 
+    /** The network has not taken all that was handed to it: what is written now waits behind that. */
+    boolean isStuck() {
+        ChannelOutboundBuffer waiting = ((NetSocketInternal) socket).channelHandlerContext().channel().unsafe().outboundBuffer();
+        return waiting != null && waiting.size() > 0;
+    }
+
+    /** Closes it with what it has not sent. Vert.x's own close waits until all that was written has left. */
+    void abort() {
+        ((NetSocketInternal) socket).channelHandlerContext().close();
+    }
+
     /** Ends this direction alone; what comes in the other is still read. */
     void shutdownOutput() {
         if (((NetSocketInternal) socket).channelHandlerContext().channel() instanceof DuplexChannel channel) {
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -204,7 +204,7 @@
         leg.sentUs = clock.nowUs();
         link.usedUs = leg.sentUs;
         link.legs.add(leg);
-        leg.line.send(link, leg.message);
+        leg.line.sendSetUp(link, leg.message, () -> leg.sent = true);
     }
 
     @Override
@@ -214,6 +214,9 @@
             return;
         }
         forget(leg);
+        if (leg.on != null && !leg.sent) {
+            leg.line.orphan(leg.on);
+        }
         if (leg.on == null || !leg.line.isOpen(leg.on)) {
             return;
         }
@@ -273,7 +276,7 @@
     @Override
     public void unreachable(Line line, boolean dead) {
         for (Leg leg : legs(line)) {
-            if (leg.on == null && !line.isUp()) {
+            if (leg.on == null && !line.takesNow()) {
                 forget(leg);
                 core.ended(leg.call, leg.copy, State.CONNECT_ERROR, 0, List.of());
             }
@@ -301,7 +304,7 @@
             case ANSWER -> answer(line, on, m);
             case RELEASE -> {
                 line.send(on, of(RELEASED, m.call(), -1));
-                ended(line, m);
+                ended(line, on, m);
             }
             case GROUP_STATE -> core.checked(line.id, State.OK, 0, reports.read(m.report()));
             case TEST -> line.send(on, of(TESTED, m.call(), 1));
@@ -319,12 +322,12 @@
 
     private void answer(Line line, Link on, TrunkMessage m) {
         Leg leg = byId.get(m.call());
-        if (leg != null && leg.line == line && (leg.stands || leg.on != null && leg.on != on)) {
+        if (leg != null && leg.line == line && (leg.stands || leg.on != on)) {
             // A second copy, or the late answer to an earlier attempt, which is released already: to release it
             // again would end the present one, as they share the call's id.
             return;
         }
-        if (leg != null && leg.line == line && leg.on != null) {
+        if (leg != null && leg.line == line) {
             leg.stands = true;
             if (core.stood(leg.call, leg.copy, m.description(), reports.read(m.report()))) {
                 return;
@@ -335,12 +338,13 @@
         line.send(on, of(RELEASE, m.call(), NORMAL_CLEARING));
     }
 
-    private void ended(Line line, TrunkMessage m) {
+    private void ended(Line line, Link on, TrunkMessage m) {
         Leg leg = byId.get(m.call());
         if (leg == null && (m.cause() == NORMAL_CLEARING || m.cause() == TEMPORARY_FAILURE) && own.put(m.call(), true) == null) {
             strays.accept(m.call(), m.cause() == NORMAL_CLEARING ? Ending.NORMAL : Ending.CUT);
         }
-        if (leg == null || leg.line != line) {
+        if (leg == null || leg.line != line || !leg.stands && leg.on != on) {
+            // Of no call, or the late end of an earlier attempt: the present one is still out, or has not left.
             return;
         }
         List<Double> report = reports.read(m.report());
@@ -398,6 +402,8 @@
         final TrunkMessage message;
         Link on;
         long sentUs;
+        /** The network has its bytes. */
+        boolean sent;
         boolean stands;
 
         Leg(long call, int copy, Line line, Offer<byte[]> offer, TrunkMessage message) {
--- /dev/null
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -0,0 +1,193 @@
+package grebewick;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.config.Address;
+import grebewick.config.Endpoint;
+import grebewick.config.NodeConfig;
+import grebewick.core.CallControl.Scope;
+import grebewick.core.CallControl.Settings;
+import grebewick.core.CallControl.Stage;
+import grebewick.core.Gatekeeper;
+import grebewick.core.Offer;
+import grebewick.play.Scenario;
+import grebewick.play.Sites;
+import grebewick.sip.SipDialect;
+import grebewick.trunk.Trunk;
+import grebewick.trunk.TrunkDialect;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A call whose caller has left while it waited is not sent on, wherever it waited: caller c, servers s1 (first) and s2. */
+@Timeout(100)
+class LeftCallersTest {
+    private static final String CANCELS = "c > CANCEL 01\n c < 200 CANCEL 01\n c < 487 INVITE 01";
+    private static final Settings PATIENT =
+        Sites.settings(Sites.SETTINGS.replace("\"ConnectTimeout\":500000", "\"ConnectTimeout\":60000000"));
+    private final Scenario s = new Scenario();
+    private final List<String> log = new ArrayList<>();
+    private Node node;
+    private Endpoint one;
+    private Endpoint two;
+
+    @BeforeEach
+    void start() {
+        one = endpoint("s1", s.server("s1", new TrunkDialect()), Stage.HEALTHY, 0);
+        two = endpoint("s2", s.server("s2", new TrunkDialect()), Stage.HEALTHY, 1);
+        int port = s.await(() -> {
+            node = new Node(s.vertx, config(List.of(one, two)), s.clock, s.clock, log::add);
+            return node.start();
+        });
+        s.client("c", new SipDialect(), port);
+        s.client("d", new SipDialect(), port);
+        s.play("s1 has no more\n s2 has no more");
+    }
+
+    @AfterEach
+    void noCallIsLeft() {
+        assertThat(s.on(() -> node.calls())).isZero();
+        s.close();
+    }
+
+    private static NodeConfig config(List<Endpoint> known) {
+        return new NodeConfig("n0", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0, known, 12, Sites.settings());
+    }
+
+    private static Endpoint endpoint(String id, int port, Stage stage, int place) {
+        return new Endpoint(Sites.entry(id, place, stage, 0), new Address("127.0.0.1", port));
+    }
+
+    /** Nothing but a release may follow, and that only of what had left. */
+    private void isNotSentOn() {
+        s.play("wait 10000\n s1 has no more\n s2 has no more");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {CANCELS, "c closes"})
+    void whileTheLoopHadNotReadThatItLeft(String leaves) {
+        s.play("loop is late\n c > INVITE 01\n c has no more\n" + leaves + "\n d has no more\n loop is caught-up");
+        isNotSentOn();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {CANCELS, "c closes"})
+    void whileItWaitedOutTheReleaseTime(String leaves) {
+        s.play("c > INVITE 01\n s1 < set-up 01*\n s1 > release 01 41\n s1 < released 01\n wait 400\n" + leaves + "\n d has no more");
+        isNotSentOn();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {CANCELS, "c closes"})
+    void whileTheModuleHeldIt(String leaves) {
+        s.on(() -> {
+            node.tell(Scope.COMPLETE, List.of(endpoint("s1", one.address().port(), Stage.CORDONED, 0),
+                endpoint("s2", two.address().port(), Stage.CORDONED, 1)));
+            return null;
+        });
+        s.play("c > INVITE 01\n c has no more\n" + leaves + "\n d has no more");
+        s.on(() -> {
+            node.tell(Scope.COMPLETE, List.of(one, two));
+            return null;
+        });
+        isNotSentOn();
+    }
+
+    /** Nobody accepts there: once its backlog is full, a connection neither comes up nor fails. */
+    @ParameterizedTest
+    @ValueSource(strings = {"e > CANCEL 01\n e < 200 CANCEL 01\n e < 487 INVITE 01", "e closes"})
+    void whileItWaitedForAConnection(String leaves) throws IOException {
+        InetAddress here = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket mute = new ServerSocket(0, 1, here); Socket first = new Socket(here, mute.getLocalPort());
+                Socket second = new Socket(here, mute.getLocalPort())) {
+            mute.setSoTimeout(20_000);
+            Node waits = s.on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null,
+                null, 0, List.of(endpoint("s3", mute.getLocalPort(), Stage.HEALTHY, 0)), 12, PATIENT), s.clock, s.clock, log::add));
+            s.client("e", new SipDialect(), s.await(waits::start));
+            s.play("e > INVITE 01\n e has no more\n" + leaves);
+            s.until(() -> waits.calls() == 0);
+            mute.accept();
+            mute.accept();
+            // The connection that comes up at last carries nothing of it, as this end of the node shows.
+            try (Socket late = mute.accept()) {
+                s.await(waits::close);
+                assertThat(late.getInputStream().readAllBytes()).isEmpty();
+            }
+        }
+    }
+
+    /** A server that reads nothing: what the network has not taken is taken back with its connection, nothing else is. */
+    @Test
+    void whileItsBytesWereStuckInAConnection() throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, s.clock, s.clock, log::add));
+            s.on(() -> {
+                trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> { }, s.clock, s.clock, trunk,
+                    (peer, bytes) -> { }, log::add));
+                return trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)));
+            });
+            try (Socket first = server.accept()) {
+                int[] sent = {0};
+                s.until(() -> {
+                    setUp(trunk, ++sent[0]);
+                    return trunk.unwritten() > 0;
+                });
+                // One more waits for the connection to take something again, and is not in it.
+                long before = s.on(trunk::unwritten);
+                s.on(() -> setUp(trunk, sent[0] + 1));
+                assertThat(s.on(trunk::unwritten)).isEqualTo(before);
+                s.on(() -> giveUp(trunk, sent[0] + 1));
+                assertThat(s.on(trunk::unwritten)).as("nothing is lost for it").isEqualTo(before);
+                s.on(() -> giveUp(trunk, sent[0]));
+                assertThat(s.on(trunk::unwritten)).isZero();
+                assertThat(log).anyMatch(line -> line.contains("did not take a set-up that was given up since"));
+                byte[] got = first.getInputStream().readAllBytes();
+                int size = 2 + (got[0] & 0xff) * 256 + (got[1] & 0xff);
+                assertThat(got.length / size).as(got.length + " of " + size).isPositive().isLessThan(sent[0]);
+            }
+        }
+    }
+
+    /** What waited for a stuck connection leaves in its order once that takes bytes again. */
+    @Test
+    void whatWaitedForAStuckConnectionLeavesLater() throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, s.clock, s.clock, log::add));
+            s.on(() -> {
+                trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> { }, s.clock, s.clock, trunk,
+                    (peer, bytes) -> { }, log::add));
+                return trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)));
+            });
+            try (Socket first = server.accept()) {
+                int[] sent = {0};
+                s.until(() -> {
+                    setUp(trunk, ++sent[0]);
+                    return trunk.unwritten() > 0;
+                });
+                s.on(() -> setUp(trunk, sent[0] + 1));
+                int size = 2 + first.getInputStream().read() * 256 + first.getInputStream().read();
+                first.getInputStream().readNBytes(size * (sent[0] + 1) - 2);
+                assertThat(s.on(trunk::unwritten)).isZero();
+            }
+        }
+    }
+
+    private static Void setUp(Trunk trunk, int call) {
+        trunk.setUp(call, 0, "s3", new Offer<>(call, "a", "55", 9_000_000, false, false, 1, 0, -1, new byte[15_000]), 9_000_000);
+        return null;
+    }
+
+    private static Void giveUp(Trunk trunk, int call) {
+        trunk.giveUp(call, 0, "s3");
+        return null;
+    }
+}
--- a/src/test/java/grebewick/play/HandClock.java
+++ b/src/test/java/grebewick/play/HandClock.java
@@ -2,6 +2,7 @@
 
 import grebewick.core.Clock;
 import grebewick.core.Timers;
+import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
@@ -11,6 +12,8 @@
 
     private final PriorityQueue<Task> tasks =
         new PriorityQueue<>(Comparator.comparingLong(Task::atUs).thenComparingLong(Task::order));
+    private final ArrayDeque<Runnable> unread = new ArrayDeque<>();
+    private boolean late;
     private long nowUs = 1_700_000_000_000_000L;
     private long order;
 
@@ -26,6 +29,23 @@
         return () -> tasks.remove(task);
     }
 
+    @Override
+    public void afterInput(Runnable task) {
+        if (late) {
+            unread.add(task);
+        } else {
+            task.run();
+        }
+    }
+
+    /** From now on the loop has not read all that is there; then it has, and goes on. */
+    public void late(boolean is) {
+        late = is;
+        while (!late && !unread.isEmpty()) {
+            unread.poll().run();
+        }
+    }
+
     /** Lets time pass; what comes due runs in order. */
     public void pass(long us) {
         long endUs = nowUs + us;
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -25,7 +25,8 @@
  * Plays a scenario against a program on loopback sockets. A line is {@code PARTY > MESSAGE} (send),
  * {@code PARTY < MESSAGE} (expect; {@code *} at the end stands for any rest), {@code PARTY connects}, {@code PARTY closes},
  * {@code PARTY sees the end}, {@code PARTY listens}, {@code PARTY stops}, {@code PARTY has no more},
- * {@code PARTY reached N} (so many connections with it have come up in all), what an {@linkplain #actor actor} does, or
+ * {@code PARTY reached N} (so many connections with it have come up in all), what an {@linkplain #actor actor} does,
+ * {@code loop is late} (what is chosen from now on waits for what has come in to be read), {@code loop is caught-up}, or
  * {@code wait MS}. Expectations wait for the message itself; only {@code wait} lets time pass.
  */
 public final class Scenario implements AutoCloseable {
@@ -126,6 +127,13 @@
             });
             return;
         }
+        if (words[0].equals("loop")) {
+            on(() -> {
+                clock.late(words[2].equals("late"));
+                return null;
+            });
+            return;
+        }
         if (actors.containsKey(words[0])) {
             actors.get(words[0]).get(line.substring(words[0].length() + 1)).run();
             return;
