The list's socket is replaced once closed; idle closes and Diameter wait for the input too

It is looked at after the input now. - Diameter: an error on a connection ends what is open on it at once; a request is not written to a peer that takes nothing, another one gets it, as nothing has left.

--- a/src/main/java/grebewick/diameter/Connection.java
+++ b/src/main/java/grebewick/diameter/Connection.java
@@ -3,6 +3,8 @@
 import static grebewick.diameter.DiameterMessage.*;
 
 import grebewick.core.Timers;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -61,7 +63,11 @@
                 close("it sent " + e.getMessage());
             }
         });
-        socket.exceptionHandler(e -> socket.close());
+        socket.exceptionHandler(e -> {
+            // What is open on it is over at once: what else was read in this round must not send it on.
+            ended();
+            socket.close();
+        });
         socket.closeHandler(v -> ended());
         if (initiator) {
             request(own(CAPABILITIES_EXCHANGE, capabilities()), this::capabilitiesAnswer);
@@ -81,6 +87,12 @@
         return open && !ended;
     }
 
+    /** The network has not taken all that was handed to it: what is written now waits behind that. */
+    boolean isStuck() {
+        ChannelOutboundBuffer waiting = ((NetSocketInternal) socket).channelHandlerContext().channel().unsafe().outboundBuffer();
+        return waiting != null && waiting.size() > 0;
+    }
+
     private List<Avp> capabilities() {
         List<Avp> list = new ArrayList<>(me.origin());
         byte[] ip = {127, 0, 0, 1};
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -100,7 +100,8 @@
     @Override
     public void setUp(long call, int copy, String server, Offer<DiameterMessage> offer, long waitUs) {
         Upstream to = peers.get(server);
-        if (!to.isOpen()) {
+        if (!to.isOpen() || to.connection.isStuck()) {
+            // What a stuck connection holds could not be taken back if its client left.
             core.ended(call, copy, State.CONNECT_ERROR, 0, List.of());
             return;
         }
--- a/src/main/java/grebewick/names/FleetPoller.java
+++ b/src/main/java/grebewick/names/FleetPoller.java
@@ -11,6 +11,7 @@
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.datagram.DatagramSocketOptions;
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -63,7 +64,9 @@
         }
     };
     private Address server;
-    private DatagramSocket socket;
+    /** Open, or about to be replaced. */
+    DatagramSocket socket;
+    private boolean closed;
     private long serial;
     /** The targets of list {@code serial}, by name; null: none later than the configuration's was heard. */
     private Map<String, Target> list;
@@ -92,6 +95,11 @@
 
     /** Starts asking. */
     public void start() {
+        open();
+        poll();
+    }
+
+    private void open() {
         socket = vertx.createDatagramSocket(new DatagramSocketOptions().setReceiveBufferSize(MOST_BYTES));
         socket.handler(packet -> {
             if (!server.host().equals(packet.sender().hostAddress()) || server.port() != packet.sender().port()) {
@@ -109,11 +117,11 @@
             }
         });
         socket.exceptionHandler(e -> log.accept("names: " + e.getMessage()));
-        poll();
     }
 
     /** Asks no more. */
     public Future<Void> close() {
+        closed = true;
         return socket == null ? Future.succeededFuture() : socket.close();
     }
 
@@ -167,7 +175,16 @@
         // The id is dnsjava's, drawn at random.
         Message question = Message.newQuery(asked);
         open.put(question.getHeader().getID(), asked);
-        socket.send(Buffer.buffer(question.toWire()), server.port(), server.host());
+        DatagramSocket on = socket;
+        on.send(Buffer.buffer(question.toWire()), server.port(), server.host()).onFailure(e -> unsent(on, e));
+    }
+
+    /** Guards against a list that goes silent for good, as its socket is closed: the next question goes out on another. */
+    private void unsent(DatagramSocket on, Throwable e) {
+        if (e instanceof ClosedChannelException && on == socket && !closed) {
+            complain("the socket is closed; another is opened");
+            open();
+        }
     }
 
     /** The list that was read last, but for its id: ten times a second nothing has changed, and reading is dear. */
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -304,7 +304,8 @@
 
     private void sweep() {
         timers.after(SWEEP_US, this::sweep);
-        lines.sweep(clock.nowUs());
+        // What a loop that came late has not read yet may be a set-up: a close would lose it.
+        timers.afterInput(() -> lines.sweep(clock.nowUs()));
     }
 
     /** One call on this side. */
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -364,6 +364,27 @@
             c < BYE 01 16""");
     }
 
+    /** Guards a request that a loop which came late has not read when its connection has been idle for long enough. */
+    @Test
+    void anIdleConnectionIsClosedOnlyOnceItsInputIsRead() {
+        s.play("""
+            d > OPTIONS 77
+            d < 200 OPTIONS 77
+            loop is late
+            wait 6500
+            d > INVITE 01
+            d has no more
+            loop is caught-up
+            s1 < set-up 01*
+            s1 > answer 01 desc
+            d < 200 INVITE 01 desc
+            d > BYE 01
+            d < 200 BYE 01
+            s1 < release 01 16
+            wait 6500
+            d sees the end""");
+    }
+
     /** Guards the descriptors: 6 of 12 are the callers', and strangers go before a caller that has asked. */
     @Test
     void whoSaysNothingLosesTheConnectionFirst() {
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -88,6 +88,14 @@
             p1 < ASA s 5002""");
     }
 
+    /** Guards the servers against requests of a client that was lost before the loop had read so. */
+    @Test
+    void whatALostClientAskedForIsNotSentOn() {
+        s.play("loop is late\n c > AAR s\n c has no more\n c closes");
+        s.until(() -> node.sessions() == 0);
+        s.play("loop is caught-up\n wait 5000\n p1 has no more\n p2 has no more");
+    }
+
     @Test
     void aServersNoIsTheOneAnswerAndLeavesNoSession() {
         s.play("""
--- a/src/test/java/grebewick/names/FleetPollerTest.java
+++ b/src/test/java/grebewick/names/FleetPollerTest.java
@@ -84,6 +84,21 @@
         }
     }
 
+    /** Guards against a list that is silent for good once its socket has failed. */
+    @Test
+    void aSocketThatIsClosedIsReplaced() {
+        s.await(() -> poller.socket.close());
+        s.play("wait 100");
+        s.until(() -> log.stream().anyMatch(line -> line.contains("another is opened")));
+        int before = asked;
+        s.play("wait 100");
+        s.until(() -> asked > before);
+        priority = 1;
+        serial = 4;
+        s.play("wait 100");
+        s.until(() -> told.stream().anyMatch(list -> list.get(0).entry().stage() == Stage.CORDONED));
+    }
+
     private byte[] answer(byte[] bytes) {
         try {
             Message question = new Message(bytes);
