--- a/src/test/java/grebewick/web/AdmissionHandlerTest.java
+++ b/src/test/java/grebewick/web/AdmissionHandlerTest.java
@@ -6,6 +6,8 @@
 import grebewick.play.Scenario;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.util.ArrayDeque;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -16,14 +18,15 @@
     private final Scenario s = new Scenario();
     private final ArrayDeque<RoutingContext> inRoute = new ArrayDeque<>();
     private AdmissionHandler admission;
+    private int port;
 
     @BeforeEach
     void start() {
-        int port = s.await(() -> {
+        port = s.await(() -> {
             admission = AdmissionHandler.create(new AdmissionOptions(1_000_000, 4_000_000, 10), 1, s.clock, s.clock);
             Router router = Router.router(s.vertx);
             router.get("/open").handler(context -> context.response().end());
-            router.get("/soup").handler(admission).handler(inRoute::add);
+            router.route("/soup").handler(admission).handler(inRoute::add);
             return s.vertx.createHttpServer().requestHandler(router).listen(0, "127.0.0.1");
         }).actualPort();
         for (String name : new String[] {"a", "b", "c"}) {
@@ -81,6 +84,21 @@
         s.play("c < 200");
     }
 
+    /** Guards the route against a request whose client left while it waited, though its body is not read meanwhile. */
+    @Test
+    void whoLeftWhileItWaitedIsNotLetOn() throws Exception {
+        s.play("a > GET /soup").until(() -> inRoute.size() == 1);
+        try (Socket b = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            b.getOutputStream().write("POST /soup HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n".getBytes());
+            b.getOutputStream().write(new byte[100_000]);
+            s.until(() -> admission.open() == 2);
+        }
+        s.until(() -> admission.open() == 1);
+        answer(200);
+        s.play("a < 200\n a has no more");
+        assertThat(s.on(inRoute::isEmpty)).isTrue();
+    }
+
     @Test
     void optionsThatCannotWorkAreRefused() {
         assertThatThrownBy(() -> new AdmissionOptions(2, 1, 1)).isInstanceOf(IllegalArgumentException.class);
