--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -175,18 +175,9 @@
     @Test
     void whileItsBytesWereStuckInAConnection() throws IOException {
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
-            Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, s.clock, s.clock, log::add));
-            s.on(() -> {
-                trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> { }, s.clock, s.clock, trunk,
-                    (peer, bytes) -> { }, log::add));
-                return trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)));
-            });
+            Trunk trunk = trunk(server);
             try (Socket first = server.accept()) {
-                int[] sent = {0};
-                s.until(() -> {
-                    setUp(trunk, ++sent[0]);
-                    return trunk.unwritten() > 0;
-                });
+                int[] sent = {fill(trunk)};
                 // One more waits for the connection to take something again, and is not in it.
                 long before = s.on(trunk::unwritten);
                 s.on(() -> setUp(trunk, sent[0] + 1));
@@ -207,18 +198,9 @@
     @Test
     void whatWaitedForAStuckConnectionLeavesLater() throws IOException {
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
-            Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, s.clock, s.clock, log::add));
-            s.on(() -> {
-                trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> { }, s.clock, s.clock, trunk,
-                    (peer, bytes) -> { }, log::add));
-                return trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)));
-            });
+            Trunk trunk = trunk(server);
             try (Socket first = server.accept()) {
-                int[] sent = {0};
-                s.until(() -> {
-                    setUp(trunk, ++sent[0]);
-                    return trunk.unwritten() > 0;
-                });
+                int[] sent = {fill(trunk)};
                 long before = s.on(trunk::unwritten);
                 s.on(() -> setUp(trunk, sent[0] + 1));
                 assertThat(s.on(trunk::unwritten)).isEqualTo(before).isPositive();
@@ -229,6 +211,26 @@
         }
     }
 
+    private Trunk trunk(ServerSocket server) {
+        Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, s.clock, s.clock, log::add));
+        s.on(() -> {
+            trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> { }, s.clock, s.clock, trunk,
+                (peer, bytes) -> { }, log::add));
+            return trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)));
+        });
+        return trunk;
+    }
+
+    /** Set-ups until the connection is stuck; gives their number. */
+    private int fill(Trunk trunk) {
+        int[] sent = {0};
+        s.until(() -> {
+            setUp(trunk, ++sent[0]);
+            return trunk.unwritten() > 0;
+        });
+        return sent[0];
+    }
+
     private static Void setUp(Trunk trunk, int call) {
         trunk.setUp(call, 0, "s3", new Offer<>(call, "a", "55", 9_000_000, false, false, 1, 0, -1, new byte[15_000]), 9_000_000);
         return null;
