LeftCallersTest: a stuck connection is made and judged in one turn of the loop

Checked: the kernel accepts before the loop has seen its own end come up; set-ups made until then wait in the trunk, and leave together when it does. What is then stuck is one of them, and the last one, which the test gives up, has never left. Ruled out: the mend in Line.orphan, which takes the connection of the set-up that was given up and of no other. At fault: the test's accept() and its fill() over several turns (lines 178 to 182, 225 to 233). Now the connection is known to be up once a test on it is answered, and fill, give-up and judgement are one turn, in which the network can take nothing.

--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -153,12 +153,7 @@
                 null, 0, List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)), 64, Sites.settings()), s.clock, s.clock,
                 log::add));
             s.client("e", new SipDialect(), s.await(other::start));
-            try (Socket first = server.accept(); Socket second = server.accept()) {
-                // Both are known to be up once each is answered.
-                for (Socket each : List.of(first, second)) {
-                    each.getOutputStream().write(trunk.encode(trunk.ping()[0]).getBytes());
-                    each.getInputStream().readNBytes(each.getInputStream().read() * 256 + each.getInputStream().read());
-                }
+            try (Socket first = accepted(server); Socket second = accepted(server)) {
                 s.play("e > INVITE 01");
                 s.until(() -> first.getInputStream().available() + second.getInputStream().available() > 0);
                 Socket there = first.getInputStream().available() > 0 ? first : second;
@@ -176,20 +171,23 @@
     void whileItsBytesWereStuckInAConnection() throws IOException {
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             Trunk trunk = trunk(server);
-            try (Socket first = server.accept()) {
-                int[] sent = {fill(trunk)};
-                // One more waits for the connection to take something again, and is not in it.
-                long before = s.on(trunk::unwritten);
-                s.on(() -> setUp(trunk, sent[0] + 1));
-                assertThat(s.on(trunk::unwritten)).isEqualTo(before);
-                s.on(() -> giveUp(trunk, sent[0] + 1));
-                assertThat(s.on(trunk::unwritten)).as("nothing is lost for it").isEqualTo(before);
-                s.on(() -> giveUp(trunk, sent[0]));
-                assertThat(s.on(trunk::unwritten)).isZero();
+            try (Socket first = accepted(server)) {
+                int sent = s.on(() -> {
+                    int last = fill(trunk);
+                    long before = trunk.unwritten();
+                    // One more waits for the connection to take something again, and is not in it.
+                    setUp(trunk, last + 1);
+                    assertThat(trunk.unwritten()).isEqualTo(before);
+                    giveUp(trunk, last + 1);
+                    assertThat(trunk.unwritten()).as("nothing is lost for it").isEqualTo(before);
+                    giveUp(trunk, last);
+                    assertThat(trunk.unwritten()).isZero();
+                    return last;
+                });
                 assertThat(log).anyMatch(line -> line.contains("did not take a set-up that was given up since"));
                 byte[] got = first.getInputStream().readAllBytes();
                 int size = 2 + (got[0] & 0xff) * 256 + (got[1] & 0xff);
-                assertThat(got.length / size).as(got.length + " of " + size).isPositive().isLessThan(sent[0]);
+                assertThat(got.length / size).as(got.length + " of " + size).isPositive().isLessThan(sent);
             }
         }
     }
@@ -199,19 +197,22 @@
     void whatWaitedForAStuckConnectionLeavesLater() throws IOException {
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             Trunk trunk = trunk(server);
-            try (Socket first = server.accept()) {
-                int[] sent = {fill(trunk)};
-                long before = s.on(trunk::unwritten);
-                s.on(() -> setUp(trunk, sent[0] + 1));
-                assertThat(s.on(trunk::unwritten)).isEqualTo(before).isPositive();
-                first.setSoTimeout(20_000);
+            try (Socket first = accepted(server)) {
+                int sent = s.on(() -> {
+                    int last = fill(trunk);
+                    long before = trunk.unwritten();
+                    setUp(trunk, last + 1);
+                    assertThat(trunk.unwritten()).isEqualTo(before).isPositive();
+                    return last;
+                });
                 int size = first.getInputStream().read() * 256 + first.getInputStream().read();
-                assertThat(first.getInputStream().readNBytes((2 + size) * (sent[0] + 1) - 2)).hasSize((2 + size) * (sent[0] + 1) - 2);
+                assertThat(first.getInputStream().readNBytes((2 + size) * (sent + 1) - 2)).hasSize((2 + size) * (sent + 1) - 2);
             }
         }
     }
 
-    private Trunk trunk(ServerSocket server) {
+    private Trunk trunk(ServerSocket server) throws IOException {
+        server.setSoTimeout(20_000);
         Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, s.clock, s.clock, log::add));
         s.on(() -> {
             trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> { }, s.clock, s.clock, trunk,
@@ -221,14 +222,26 @@
         return trunk;
     }
 
-    /** Set-ups until the connection is stuck; gives their number. */
-    private int fill(Trunk trunk) {
-        int[] sent = {0};
-        s.until(() -> {
-            setUp(trunk, ++sent[0]);
-            return trunk.unwritten() > 0;
-        });
-        return sent[0];
+    /** The next connection, once its other end is known to have seen it come up: a test on it has been answered. */
+    private static Socket accepted(ServerSocket server) throws IOException {
+        TrunkDialect dialect = new TrunkDialect();
+        Socket socket = server.accept();
+        socket.setSoTimeout(20_000);
+        socket.getOutputStream().write(dialect.encode(dialect.ping()[0]).getBytes());
+        int size = socket.getInputStream().read() * 256 + socket.getInputStream().read();
+        assertThat(socket.getInputStream().readNBytes(size)).hasSize(size);
+        return socket;
+    }
+
+    /** Set-ups until the connection is stuck; gives their number. In one turn of the loop: what is stuck stays so in it. */
+    private static int fill(Trunk trunk) {
+        for (int sent = 1; sent <= 4_096; sent++) {
+            setUp(trunk, sent);
+            if (trunk.unwritten() > 0) {
+                return sent;
+            }
+        }
+        throw new AssertionError("the connection never gets stuck");
     }
 
     private static Void setUp(Trunk trunk, int call) {
