Callers' connections: no close under a call that is open or stands on them

Seen: read for closes that come between two lines. And a caller that reads nothing kept its connection for ever: Vert.x's close waits for what was written, so the bound on unread bytes and the idle close ended nothing. Checked: each by a test on sockets (CrossingsTest); each mend taken out alone makes one or more of them fail (four mutations, one run each). An attempt whose time is up by the moment it may leave no longer leaves.

--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -130,7 +130,8 @@
             }
             if (fleet.get(out.server) != Stage.HEALTHY) {
                 end(life, State.IGNORED, 0, List.of());
-            } else {
+            } else if (nowUs < out.endUs) {
+                // Else its time ends within this turn, and nothing has left.
                 out.left = true;
                 servers.setUp(out.call, out.copy, out.server, life.offer, Math.max(0, out.endUs - nowUs));
             }
@@ -275,19 +276,25 @@
         }
     }
 
-    /** The process ends: who still waits has its answer now, a refusal where no server can have run the call. */
+    /** The process ends: who still waits has its answer now. */
     public void answerAll() {
-        turn(() -> {
-            for (long id : List.copyOf(calls.keySet())) {
-                answerNow(id, life -> {
-                    if (life.out == null && life.notBeforeUs == Long.MIN_VALUE) {
-                        life.caller.refused(id, set.bounds().maxRetryAfterUs());
-                    } else {
-                        life.caller.failed(id);
-                    }
-                    inbox.add(new Hangup(id));
-                });
+        turn(() -> List.copyOf(calls.keySet()).forEach(this::lastAnswer));
+    }
+
+    /** The way to a caller ends from this side: it has its answer now, if it still waits. */
+    public void answer(long call) {
+        turn(() -> lastAnswer(call));
+    }
+
+    /** A refusal where no server can have run the call. */
+    private void lastAnswer(long call) {
+        answerNow(call, life -> {
+            if ((life.out == null || !life.out.left) && life.notBeforeUs == Long.MIN_VALUE) {
+                life.caller.refused(call, set.bounds().maxRetryAfterUs());
+            } else {
+                life.caller.failed(call);
             }
+            inbox.add(new Hangup(call));
         });
     }
 
--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -1,6 +1,7 @@
 package grebewick.sip;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -33,6 +34,8 @@
     /** Set-ups in a row that were of no use to anybody. */
     int useless;
     boolean closed;
+    /** Looks at it since it was closed from this side, by {@link CallerLines#sweep}. */
+    int looks;
     private int unread;
 
     CallerLine(NetSocket socket, long nowUs) {
@@ -73,4 +76,9 @@
         closed = true;
         socket.close();
     }
+
+    /** Closes it with what it has not sent. Vert.x's own close waits until all that was written has left. */
+    void abort() {
+        ((NetSocketInternal) socket).channelHandlerContext().close();
+    }
 }
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -137,6 +137,8 @@
             line.halfUs = !line.codec.half() ? 0 : line.halfUs > 0 && line.halfUs >= line.heardUs ? line.halfUs : clock.nowUs();
         } catch (RuntimeException e) {
             complain("closed a connection that sent " + e.getMessage());
+            // Guards the set-ups before it on the same connection: with it they would be lost without an answer.
+            List.copyOf(line.open).forEach(each -> core.answer(((Session) each).call));
             line.close();
         }
     }
@@ -206,7 +208,7 @@
 
     /** Who sends nothing of use is closed: at full speed that takes the core, and the servers' time. */
     private void useless(CallerLine on) {
-        if (++on.useless >= MOST_USELESS && on.open.isEmpty()) {
+        if (++on.useless >= MOST_USELESS && on.open.isEmpty() && on.standing == 0) {
             complain("closed a connection that sent nothing of use");
             on.close();
         }
--- /dev/null
+++ b/src/test/java/grebewick/CrossingsTest.java
@@ -0,0 +1,133 @@
+package grebewick;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.config.Address;
+import grebewick.config.Endpoint;
+import grebewick.config.NodeConfig;
+import grebewick.core.CallControl.Stage;
+import grebewick.play.Scenario;
+import grebewick.play.Sites;
+import grebewick.sip.SipDialect;
+import grebewick.trunk.TrunkDialect;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What comes between two lines: a close, a reset or bad input as a request or an answer crosses it. */
+@Timeout(100)
+class CrossingsTest {
+    private final Scenario s = new Scenario();
+    private final List<String> log = new ArrayList<>();
+    private Node node;
+    private int port;
+    private int ports1;
+
+    @BeforeEach
+    void start() {
+        ports1 = s.server("s1", new TrunkDialect());
+        int ports2 = s.server("s2", new TrunkDialect());
+        port = starts(endpoint("s1", ports1, 0), endpoint("s2", ports2, 1));
+        s.client("c", new SipDialect(), port);
+        s.client("d", new SipDialect(), port);
+        s.play("s1 has no more\n s2 has no more");
+    }
+
+    @AfterEach
+    void noCallIsLeft() {
+        assertThat(s.on(() -> node.calls())).isZero();
+        s.close();
+    }
+
+    private int starts(Endpoint... known) {
+        return s.await(() -> {
+            node = new Node(s.vertx, new NodeConfig("n0", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
+                List.of(known), 64, Sites.settings()), s.clock, s.clock, log::add);
+            return node.start();
+        });
+    }
+
+    private static Endpoint endpoint(String id, int port, int place) {
+        return new Endpoint(Sites.entry(id, place, Stage.HEALTHY, 0), new Address("127.0.0.1", port));
+    }
+
+    // ---- callers' connections
+
+    /** Guards set-ups against being lost without an answer, as their connection ends on what came behind them. */
+    @Test
+    void badInputBehindASetUpClosesItsConnectionOnceTheSetUpIsAnswered() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            c > raw what is this|||
+            c < 500 INVITE 01
+            c sees the end
+            s1 < release 01 16
+            s1 > answer 01 desc
+            s1 < release 01 16""");
+        assertThat(log.stream().filter(line -> line.startsWith("sip: closed"))).hasSize(1);
+    }
+
+    /** The same in one read: nothing has left, and that is said. */
+    @Test
+    void aSetUpAndBadInputInOneReadIsRefusedAndNotSentOn() {
+        String invite = new SipDialect().encode("INVITE 01").toString().replace("\r\n", "|");
+        s.play("loop is late\n c > raw " + invite + "what is this|||\n c < 503 INVITE 01 retry=2\n c sees the end\n loop is caught-up\n"
+            + "d has no more\n wait 5000\n s1 has no more\n s2 has no more");
+    }
+
+    /** Guards set-ups and standing calls of a caller whose network stopped in the middle of its next message. */
+    @Test
+    void halfAMessageEndsNoConnectionUnderACall() {
+        s.play("""
+            c > INVITE 01 deadline=9000
+            s1 < set-up 01*
+            c > raw INVITE sip:55@net SIP/2.0|
+            d has no more
+            wait 1300
+            s1 < release 01 16
+            wait 600
+            s2 < set-up 01*
+            wait 150
+            s2 > answer 01 desc
+            c < 200 INVITE 01 desc
+            wait 4000
+            s2 > release 01 16
+            s2 < released 01
+            c < BYE 01 16
+            wait 250
+            c sees the end""");
+    }
+
+    /** Guards the ends of standing calls: the connection that is closed for useless requests may be their last way. */
+    @Test
+    void uselessRequestsCloseNoConnectionUnderAStandingCall() {
+        s.play("c > INVITE 01\n s1 < set-up 01*\n s1 > answer 01 desc\n c < 200 INVITE 01 desc");
+        s.play("c > INVITE 02 tier=b\n c < 400 INVITE 02\n".repeat(20));
+        s.play("c has no more\n s1 > release 01 16\n s1 < released 01\n c < BYE 01 16\n c > 200 BYE 01");
+        s.play("c > INVITE 02 tier=b\n c < 400 INVITE 02\n c sees the end");
+    }
+
+    /** Guards the descriptors: a caller that reads nothing holds no connection for as long as it likes. */
+    @Test
+    void whoReadsNothingIsEndedThoughItsAnswersNeverLeave() throws IOException {
+        byte[] tests = "OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: 00000000000000ff\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
+            .repeat(200).getBytes();
+        try (Socket mute = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            OutputStream out = mute.getOutputStream();
+            while (s.on(() -> node.debts().bytes()) == 0) {
+                out.write(tests);
+            }
+            // Idle for 6 s, then closed; what has not left 2 s later is dropped.
+            s.play("wait 9000");
+            s.until(() -> node.debts().bytes() == 0);
+        }
+    }
+}
