Trunk: another attempt at the same server goes out on another connection

Logic.again turns to the same server at once where no other is left (tried.clear()), Line.pick prefers the connection used last, and a refusal is known by the call's id alone: a copy of the first attempt's end, or the late end of one given up, ended the second, and a third went out beside it. ARCHITECTURE had it as "cannot be told apart: not mended". At fault: Line.pick, which did not look at what the call had had there before. Now: a connection remembers the last 256 calls of which an attempt ended on it; another one is taken for the next attempt, or opened if the descriptors bear it, and only else the same. Line.unreached sets its pause before it tells of it, so that what waits cannot bring about a connect at once.

--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -89,24 +89,35 @@
     }
 
     /**
-     * The connection for a new set-up: the least loaded, of these the one used last. Null: none is up that takes one now.
-     * What a stuck one held could not be taken back from it, if its caller left or its server drained.
+     * The connection for a new set-up of that call: the least loaded, of these the one used last. Null: none is up that takes
+     * one now. What a stuck one held could not be taken back from it, if its caller left or its server drained. And what the
+     * server says of an earlier attempt on the same one could not be told from what it says of this: it would end it, and a
+     * third would go out beside it. So another is opened for it if it may be, and only else the same one serves.
      */
-    Link pick() {
+    Link pick(long id) {
         Link best = null;
+        Link again = null;
         for (Link link : links) {
-            if (takes(link) && (best == null || link.open() < best.open()
-                    || link.open() == best.open() && link.usedUs > best.usedUs)) {
-                best = link;
+            if (takes(link) && !link.hadAttempt(id)) {
+                best = better(best, link);
+            } else if (takes(link)) {
+                again = better(again, link);
             }
         }
-        if (best == null || best.open() > 0 && usable() < MOST) {
+        if (best == null) {
+            connect(again != null);
+            best = connecting ? null : again;
+        } else if (best.open() > 0 && usable() < MOST) {
             connect();
         }
         starved = best == null;
         return best;
     }
 
+    private static Link better(Link best, Link link) {
+        return best == null || link.open() < best.open() || link.open() == best.open() && link.usedUs > best.usedUs ? link : best;
+    }
+
     private static boolean takes(Link link) {
         return !link.retired && !link.isStuck();
     }
@@ -158,11 +169,16 @@
 
     /** Opens one more connection, if it may be tried now. */
     void connect() {
+        connect(false);
+    }
+
+    /** {@code needed}: a set-up can't go out on those that are up. */
+    private void connect(boolean needed) {
         if (connecting || !listed || usable() >= MOST && !renew || clock.nowUs() < notBeforeUs) {
             return;
         }
         // One that follows a break is no spare one: releases come again on it alone.
-        if (!quota.take(usable() == 0 || renew)) {
+        if (!quota.take(needed || usable() == 0 || renew)) {
             if (usable() == 0) {
                 unreached(false);
             }
@@ -287,8 +303,8 @@
 
     private void unreached(boolean dead) {
         unreachable = true;
-        owner.unreachable(this, dead);
         notBeforeUs = clock.nowUs() + RETRY_US;
+        owner.unreachable(this, dead);
         timers.after(RETRY_US, this::refill);
     }
 
--- a/src/main/java/grebewick/trunk/Link.java
+++ b/src/main/java/grebewick/trunk/Link.java
@@ -9,10 +9,14 @@
 
 /** One connection to a recipe server, and the calls that were set up on it. */
 final class Link {
+    private static final int MOST_ENDED = 256;
+
     final NetSocket socket;
     final TrunkCodec codec = new TrunkCodec();
     /** Calls whose set-up went out here: waiting for their answer, and standing. */
     final Set<Trunk.Leg> legs = new LinkedHashSet<>();
+    /** Calls that an attempt of ended here before it stood, the latest: a second copy of that end may follow. */
+    private final Set<Long> ended = new LinkedHashSet<>();
     final long sinceUs;
     /** When a whole message last came, or it came up. */
     long heardUs;
@@ -38,6 +42,19 @@
         usedUs = nowUs;
     }
 
+    /** An attempt of the call has ended here, or was given up. */
+    void ended(long id) {
+        if (ended.size() >= MOST_ENDED) {
+            ended.remove(ended.iterator().next());
+        }
+        ended.add(id);
+    }
+
+    /** Whether what the server says of the call here may be of an earlier attempt. */
+    boolean hadAttempt(long id) {
+        return ended.contains(id);
+    }
+
     /** Bytes that were sent and the network has not taken. */
     long unwritten() {
         ChannelOutboundBuffer waiting = ((NetSocketInternal) socket).channelHandlerContext().channel().unsafe().outboundBuffer();
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -196,7 +196,7 @@
 
     /** Sends the set-up, or leaves it to wait for a connection. */
     private void leave(Leg leg) {
-        Link link = leg.line.pick();
+        Link link = leg.line.pick(leg.offer.id());
         if (link == null) {
             return;
         }
@@ -276,7 +276,10 @@
     @Override
     public void unreachable(Line line, boolean dead) {
         for (Leg leg : legs(line)) {
-            if (leg.on == null && !line.takesNow()) {
+            if (leg.on == null && line.takesNow()) {
+                // It has waited for another connection than those that are up.
+                leave(leg);
+            } else if (leg.on == null) {
                 forget(leg);
                 core.ended(leg.call, leg.copy, State.CONNECT_ERROR, 0, List.of());
             }
@@ -390,6 +393,9 @@
         byId.remove(leg.offer.id(), leg);
         if (leg.on != null) {
             leg.on.legs.remove(leg);
+            if (!leg.stands) {
+                leg.on.ended(leg.offer.id());
+            }
         }
     }
 
