Diameter: a request stuck in a connection goes with it once its client has left

Read beside it: Connection.close waits for what was written, so that a peer that takes nothing was neither lost nor connected to anew when its watchdog ran out. At fault: DiameterServers.giveUp, Connection.close. Half a request is none.

--- a/src/main/java/grebewick/diameter/Connection.java
+++ b/src/main/java/grebewick/diameter/Connection.java
@@ -4,6 +4,7 @@
 
 import grebewick.core.Timers;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.vertx.core.Future;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
@@ -33,9 +34,12 @@
 
     /** Requests without an answer on one connection above which no more are sent. */
     private static final int MOST_PENDING = 20_000;
+    /** us. In which a peer has to take what was written before its connection was closed. */
+    private static final long FAREWELL_US = 1_000_000;
 
     private final NetSocket socket;
     private final Identity me;
+    private final Timers timers;
     private final Owner owner;
     private final Consumer<String> log;
     private final DiameterCodec codec = new DiameterCodec();
@@ -52,6 +56,7 @@
                Consumer<String> log) {
         this.socket = socket;
         this.me = me;
+        this.timers = timers;
         this.owner = owner;
         this.log = log;
         this.nextHop = System.identityHashCode(this);
@@ -112,20 +117,23 @@
 
     /** Sends a request under a hop-by-hop id of its own; the handler gets the answer, or null if none can come. */
     void request(DiameterMessage m, Consumer<DiameterMessage> onAnswer) {
+        request(m, onAnswer, () -> { });
+    }
+
+    /** {@code sent} is run once the network has it. */
+    void request(DiameterMessage m, Consumer<DiameterMessage> onAnswer, Runnable sent) {
         if (ended || pending.size() >= MOST_PENDING) {
             onAnswer.accept(null);
             return;
         }
         int hop = nextHop++;
         pending.put(hop, onAnswer);
-        send(m.with(m.flags(), hop, m.avps()));
+        send(m.with(m.flags(), hop, m.avps())).onSuccess(v -> sent.run());
     }
 
     /** Sends an answer. */
-    void send(DiameterMessage m) {
-        if (!ended) {
-            socket.write(DiameterCodec.encode(m));
-        }
+    Future<Void> send(DiameterMessage m) {
+        return ended ? Future.failedFuture("closed") : socket.write(DiameterCodec.encode(m));
     }
 
     void sendWatchdog() {
@@ -150,6 +158,14 @@
             log.accept("diameter: closed the connection to " + (peer.isEmpty() ? "a peer" : peer) + ": " + why);
         }
         socket.close();
+        // Guards against a peer that takes nothing any more: the close would wait for what was written before it.
+        timers.after(FAREWELL_US, this::abort);
+    }
+
+    /** Closes it with what it has not sent. Vert.x's own close waits until all that was written has left. */
+    void abort() {
+        ended();
+        ((NetSocketInternal) socket).channelHandlerContext().close();
     }
 
     private void ended() {
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -114,7 +114,8 @@
         avps.add(Avp.text(Avp.DESTINATION_HOST, server));
         avps.add(Avp.text(Avp.ROUTE_RECORD, asked.text(Avp.ORIGIN_HOST)));
         int flags = asked.flags() | (copy > 0 ? RETRANSMITTED : 0);
-        to.connection.request(asked.with(flags, 0, avps), answer -> answered(leg, answer));
+        leg.on = to.connection;
+        leg.on.request(asked.with(flags, 0, avps), answer -> answered(leg, answer), () -> leg.sent = true);
     }
 
     private void answered(Leg leg, DiameterMessage answer) {
@@ -164,6 +165,21 @@
         Leg leg = legs.get(call);
         if (leg != null) {
             forget(leg);
+            if (!leg.sent) {
+                // What is written while the same connection is read leaves when all of that is read.
+                timers.afterInput(() -> takeBack(leg));
+            }
+        }
+    }
+
+    /**
+     * Guards against a request that is sent on much later, when its peer takes bytes again: its client may have left. It
+     * can't be taken back from its connection, nor those before it, but half a request is none.
+     */
+    private void takeBack(Leg leg) {
+        if (!leg.sent && leg.on.isOpen() && leg.on.isStuck()) {
+            log.accept("diameter: " + leg.at.peer.host() + " did not take a request that was given up since; its connection is closed");
+            leg.on.abort();
         }
     }
 
@@ -347,5 +363,21 @@
         }
     }
 
-    private record Leg(long call, int copy, Upstream at, String session) { }
+    /** One session at one server. */
+    private static final class Leg {
+        final long call;
+        final int copy;
+        final Upstream at;
+        final String session;
+        Connection on;
+        /** The network has its request. */
+        boolean sent;
+
+        Leg(long call, int copy, Upstream at, String session) {
+            this.call = call;
+            this.copy = copy;
+            this.at = at;
+            this.session = session;
+        }
+    }
 }
