Vert.x-Web: a late loop lets no request on whose client has left meanwhile

A loop that comes late reads a request and, in its next look at the sockets alone, the close behind it: the admission handler had let the request on in between. At fault: AdmissionHandler's timers, which took afterInput for at once. Now: what is let on leaves after one more look at all sockets, which costs no time where nothing is there to be read.

--- a/src/main/java/grebewick/web/AdmissionHandler.java
+++ b/src/main/java/grebewick/web/AdmissionHandler.java
@@ -13,12 +13,15 @@
 import grebewick.core.Offer;
 import grebewick.core.Servers;
 import grebewick.core.Timers;
+import io.netty.channel.EventLoop;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.ContextInternal;
 import io.vertx.ext.web.RoutingContext;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Overload control of a Vert.x-Web route by the gatekeeper's own core: a request is let on, waits briefly, or is
@@ -44,9 +47,24 @@
     /** A handler on the system's monotonic clock. */
     public static AdmissionHandler create(Vertx vertx, AdmissionOptions options) {
         long zeroNs = System.nanoTime();
-        return create(options, zeroNs, () -> 1 + (System.nanoTime() - zeroNs) / 1000, (us, task) -> {
-            long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
-            return () -> vertx.cancelTimer(id);
+        return create(options, zeroNs, () -> 1 + (System.nanoTime() - zeroNs) / 1000, new Timers() {
+            @Override
+            public Runnable after(long us, Runnable task) {
+                long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
+                return () -> vertx.cancelTimer(id);
+            }
+
+            /**
+             * The first step waits until what the loop is just reading is read, the second, as a task of its clock, for its
+             * next look at all sockets: a loop that comes late reads a request first, and in the next look that its client has
+             * left.
+             */
+            @Override
+            public void afterInput(Runnable task) {
+                ContextInternal context = (ContextInternal) vertx.getOrCreateContext();
+                EventLoop loop = context.nettyEventLoop();
+                loop.execute(() -> loop.schedule(() -> context.runOnContext(v -> task.run()), 0, TimeUnit.NANOSECONDS));
+            }
         });
     }
 
--- a/src/test/java/grebewick/web/AdmissionHandlerTest.java
+++ b/src/test/java/grebewick/web/AdmissionHandlerTest.java
@@ -9,6 +9,8 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.util.ArrayDeque;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -99,6 +101,41 @@
         assertThat(s.on(inRoute::isEmpty)).isTrue();
     }
 
+    /** Guards the route against a request that a late loop reads before it reads that its client has left. */
+    @Test
+    void whoLeftWhileTheLoopStoodStillIsNotLetOn() throws Exception {
+        int late = s.await(() -> {
+            Router router = Router.router(s.vertx);
+            router.get("/open").handler(context -> context.response().end());
+            router.route("/soup").handler(AdmissionHandler.create(s.vertx, new AdmissionOptions(1_000_000, 4_000_000, 10)))
+                .handler(inRoute::add);
+            return s.vertx.createHttpServer().requestHandler(router).listen(0, "127.0.0.1");
+        }).actualPort();
+        CountDownLatch held = new CountDownLatch(1);
+        try (Socket b = new Socket(InetAddress.getByName("127.0.0.1"), late)) {
+            // Known to the loop, which then stands still.
+            b.getOutputStream().write("GET /open HTTP/1.1\r\nHost: x\r\n\r\n".getBytes());
+            assertThat(b.getInputStream().read()).isNotNegative();
+            s.vertx.runOnContext(v -> await(held));
+            b.getOutputStream().write("GET /soup?b HTTP/1.1\r\nHost: x\r\n\r\n".getBytes());
+        }
+        held.countDown();
+        s.client("e", new HttpDialect(), late);
+        s.play("e > GET /soup?e").until(() -> !inRoute.isEmpty());
+        assertThat(s.on(() -> inRoute.element().request().query())).isEqualTo("e");
+        answer(200);
+        s.play("e < 200\n e has no more");
+        assertThat(s.on(inRoute::isEmpty)).isTrue();
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await(20, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void optionsThatCannotWorkAreRefused() {
         assertThatThrownBy(() -> new AdmissionOptions(2, 1, 1)).isInstanceOf(IllegalArgumentException.class);
