The process hears SIGTERM before it opens anything; its signals are tested on a real process

Daemon.start opened first and asked to be told of the signal then; in between the JVM's own way ended the process with whatever it had taken. And a hook that is set while the JVM ends throws. No run is known in which the order decided; no test fails without it. At fault: the order in Daemon.start. Now: the hook comes first, and a process that was told before opens nothing. The line of a process that serves names its address, so that a test may use port 0.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -33,6 +33,7 @@
     private final Clock clock;
     private final Timers timers;
     private long longestUs;
+    private volatile boolean told;
 
     private Daemon(int mostAccepted) {
         Rounds rounds = new Rounds();
@@ -52,17 +53,28 @@
         int sockets = config == null ? NodeConfig.SOCKETS : config.sockets();
         Daemon daemon = new Daemon(SipFront.mostLines(sockets) + UNSEEN);
         daemon.vertx.exceptionHandler(e -> log("uncaught: " + e));
+        // Before anything is opened: what was taken by then would be lost with a signal that nobody hears.
+        try {
+            Runtime.getRuntime().addShutdownHook(new Thread(daemon::terminate, "sigterm"));
+        } catch (IllegalStateException e) {
+            // The signal came first: the process is already ending.
+            return;
+        }
         daemon.vertx.getOrCreateContext().runOnContext(v -> daemon.run(config, diameter));
         reload.ready(() -> daemon.reload(env));
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::terminate, "sigterm"));
     }
 
     private void run(NodeConfig config, DiameterConfig second) {
+        if (told) {
+            // The signal came first: nothing is opened any more.
+            ended.countDown();
+            return;
+        }
         longestUs = Math.max(config == null ? 0 : longestUs(config.settings()), second == null ? 0 : second.requestUs());
         if (config != null) {
             node = new Node(vertx, config, clock, timers, Daemon::log);
             new LoopWatch(clock, timers, this::work, Daemon::log).start();
-            node.start().onSuccess(port -> log(config.name() + " serves")).onFailure(e -> fail(config.listen(), e));
+            node.start().onSuccess(port -> log(config.name() + " serves at " + config.listen().host() + ":" + port)).onFailure(e -> fail(config.listen(), e));
         }
         if (second != null) {
             diameter = new DiameterNode(vertx, second, System.nanoTime(), clock, timers, Daemon::log);
@@ -96,6 +108,7 @@
      */
     private void terminate() {
         long toldUs = clock.nowUs();
+        told = true;
         vertx.runOnContext(v -> {
             if (node != null) {
                 node.failTests();
--- /dev/null
+++ b/src/test/java/grebewick/ProcessTest.java
@@ -0,0 +1,123 @@
+package grebewick;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.play.Scenario;
+import grebewick.play.Sites;
+import grebewick.sip.SipDialect;
+import grebewick.trunk.TrunkDialect;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole process between caller c and recipe server s1, and the system's signals. */
+@Timeout(100)
+class ProcessTest {
+    /** Exit status after SIGTERM, as of any process that it ends. */
+    private static final int TERMINATED = 143;
+
+    @TempDir
+    private Path folder;
+    private final Scenario s = new Scenario();
+    private final List<String> lines = new ArrayList<>();
+    private Process process;
+    private BufferedReader log;
+
+    private void start() throws IOException {
+        Path config = folder.resolve("config.json");
+        int port = s.server("s1", new TrunkDialect());
+        Files.writeString(config, """
+            {"name":"n0","listen":"127.0.0.1:0","seed":"1","names":"127.0.0.1:1","settings":%s,
+             "known":{"index":1,"updates":[{"index":1,"snapshot":true,"endpoints":[{"name":"s1","address":"127.0.0.1:%d",
+              "zone":"z0","type":"m","group":0,"status":"up","weight":1,"since_ms":0}]}]}}""".formatted(Sites.SETTINGS, port));
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "grebewick.Main", "serve").redirectErrorStream(true);
+        builder.environment().put("RELAY_CONFIG", config.toString());
+        process = builder.start();
+        log = process.inputReader();
+    }
+
+    @AfterEach
+    void end() {
+        process.destroyForcibly();
+        s.close();
+    }
+
+    private void signal(String... names) throws Exception {
+        for (String name : names) {
+            assertThat(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor()).isZero();
+        }
+    }
+
+    /** The first line with that text; all before it are kept as well. */
+    private String line(String text) throws IOException {
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            lines.add(line);
+            if (line.contains(text)) {
+                return line;
+            }
+        }
+        throw new AssertionError("no line with '" + text + "' in " + lines);
+    }
+
+    private int ended() throws Exception {
+        log.lines().forEach(lines::add);
+        assertThat(process.waitFor(30, TimeUnit.SECONDS)).isTrue();
+        return process.exitValue();
+    }
+
+    /** Signals while a set-up waits for its answer, twice and beside each other; another connection says nothing at all. */
+    @Test
+    void signalsBesideEachOtherLoseNoCall() throws Exception {
+        start();
+        int port = Integer.parseInt(line("n0 serves at ").replaceAll(".*:", ""));
+        s.client("c", new SipDialect(), port);
+        try (Socket mute = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            s.play("c > INVITE 01\n s1 < set-up 01*");
+            signal("HUP", "TERM", "HUP", "TERM");
+            s.play("s1 > answer 01 desc\n c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01\n s1 < release 01 16");
+            assertThat(ended()).isEqualTo(TERMINATED);
+            assertThat(mute.getInputStream().read()).as("its end, nothing else").isNegative();
+        }
+        assertThat(lines).anyMatch(line -> line.startsWith("configuration read anew"));
+        assertThat(lines).contains("ends: nothing is owed");
+        assertThat(lines).noneMatch(line -> line.contains("xception"));
+    }
+
+    /** Wherever in its start it is, it goes at once and in silence: nothing was taken. */
+    @Test
+    void toldToEndWhileItStartsItGoes() throws Exception {
+        start();
+        signal("TERM");
+        assertThat(ended()).isEqualTo(TERMINATED);
+        assertThat(lines).noneMatch(line -> line.contains("xception"));
+    }
+
+    /** Guards against a process that runs and serves nothing. */
+    @Test
+    void anAddressThatIsTakenEndsItWithOneLine() throws Exception {
+        start();
+        int port = Integer.parseInt(line("n0 serves at ").replaceAll(".*:", ""));
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Files.readString(config).replace("127.0.0.1:0", "127.0.0.1:" + port));
+        ProcessBuilder second = new ProcessBuilder(process.info().command().orElseThrow(), "-cp", System.getProperty("java.class.path"),
+            "grebewick.Main", "serve").redirectErrorStream(true);
+        second.environment().put("RELAY_CONFIG", config.toString());
+        Process other = second.start();
+        try (BufferedReader said = other.inputReader()) {
+            assertThat(said.readLine()).startsWith("grebewick: cannot listen at 127.0.0.1:" + port);
+            assertThat(said.readLine()).isNull();
+        }
+        assertThat(other.waitFor()).isEqualTo(2);
+    }
+}
