Tests: answers of the list out of order after seconds of silence; no time left when it may leave

The list's answers are kept back for 3 s, then come newest first, the older ones after it, and one twice. Two guards of FleetPoller stand in for each other there (found < serial; found > serial): either alone is enough, without both the test fails.

--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -80,6 +81,24 @@
         assertThat(core.calls() + core.unanswered()).isZero();
     }
 
+    /** Guards servers against set-ups that a loop which stood still would send and give up in one breath. */
+    @Test
+    void whatHasNoTimeLeftWhenItMayLeaveDoesNotLeave() {
+        AtomicLong stoodStillUs = new AtomicLong();
+        Gatekeeper<String> late = new Gatekeeper<>(Sites.settings(), (now, event, out) -> {
+            if (event instanceof Call call) {
+                out.accept(new Attempt(call.call(), "s1", 0));
+            }
+        }, () -> clock.nowUs() + stoodStillUs.get(), clock, this, (peer, bytes) -> { }, line -> { });
+        late.fleet(new Fleet(Scope.PERSISTED, 1, List.of(Sites.entry("s1", 0, Stage.HEALTHY, 0))), Map.of());
+        clock.late(true);
+        late.offer(new Offer<>(1, "a", "55", 1_000_000, false, false, 1, 0, -1, "offer"), this);
+        stoodStillUs.set(1_000_000);
+        clock.late(false);
+        assertThat(happened).containsExactly("failed");
+        assertThat(late.calls()).isZero();
+    }
+
     @Test
     void oneAnswerWhateverTheModuleSaysAfterIt() {
         long c = call();
--- a/src/test/java/grebewick/names/FleetPollerTest.java
+++ b/src/test/java/grebewick/names/FleetPollerTest.java
@@ -9,6 +9,7 @@
 import grebewick.lab.StandInNames;
 import grebewick.play.Scenario;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramPacket;
 import io.vertx.core.datagram.DatagramSocket;
 import java.net.InetAddress;
 import java.util.ArrayList;
@@ -209,6 +210,41 @@
         assertThat(told.get(0).get(0).entry().placeNo()).isEqualTo(2);
     }
 
+    /** Guards a list that goes silent for seconds: what comes then is of any age and in any order, and undoes nothing. */
+    @Test
+    void answersThatComeBackAfterSecondsInAnyOrderUndoNothing() {
+        List<DatagramPacket> held = new ArrayList<>();
+        List<List<Endpoint>> heard = new ArrayList<>();
+        DatagramSocket slow = s.on(() -> s.vertx.createDatagramSocket());
+        slow.handler(held::add);
+        Address at = new Address("127.0.0.1", s.await(() -> slow.listen(0, "127.0.0.1")).localAddress().port());
+        s.on(() -> {
+            new FleetPoller(s.vertx, s.clock, at, 3, List.of(KNOWN), heard::add, log::add).start();
+            return null;
+        });
+        s.play("wait 3000").until(() -> held.size() == 31);
+        s.on(() -> {
+            serial = 6;
+            priority = 1;
+            sends(slow, held.get(30));
+            serial = 5;
+            priority = 0;
+            held.subList(0, 30).forEach(each -> sends(slow, each));
+            // The same once more: its question is not open any more.
+            serial = 7;
+            sends(slow, held.get(30));
+            return null;
+        });
+        s.until(() -> log.stream().anyMatch(line -> line.contains("no open question")));
+        s.play("wait 100").until(() -> held.size() >= 32);
+        assertThat(heard).hasSize(1);
+        assertThat(heard.get(0).get(0).entry().stage()).isEqualTo(Stage.CORDONED);
+    }
+
+    private void sends(DatagramSocket from, DatagramPacket question) {
+        from.send(Buffer.buffer(answer(question.data().getBytes())), question.sender().port(), question.sender().host());
+    }
+
     /** Guards the numbering over a reload: the new address is asked at once, and the old one falls silent. */
     @Test
     void afterAMoveOnlyTheNewAddressIsAskedAndTheNumbersCarryOn() {
