--- a/src/test/java/grebewick/CrossingsTest.java
+++ b/src/test/java/grebewick/CrossingsTest.java
@@ -140,68 +140,89 @@
         }
     }
 
-    // ---- servers' connections
+    // ---- servers' connections: e calls, s3 is a server whose two connections the test holds itself
 
-    /** Guards against a third set-up beside the second: a copy of the first one's end is no end of the second. */
-    @Test
-    void aSecondCopyOfARefusalDoesNotEndTheNextAttemptAtTheSameServer() throws IOException {
-        TrunkDialect trunk = new TrunkDialect();
+    private interface Crossing {
+        /** {@code there}: where the set-up of call 01 came. */
+        void play(ServerSocket server, Socket there, Socket elsewhere) throws IOException;
+    }
+
+    private void crossing(Crossing crossing, Endpoint... others) throws IOException {
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             server.setSoTimeout(20_000);
-            s.client("e", new SipDialect(), starts(endpoint("s3", server.getLocalPort(), 0)));
+            List<Endpoint> known = new ArrayList<>(List.of(others));
+            known.add(0, endpoint("s3", server.getLocalPort(), 0));
+            s.client("e", new SipDialect(), starts(known.toArray(Endpoint[]::new)));
             try (Socket first = server.accept(); Socket second = server.accept()) {
                 s.play("e > INVITE 01");
                 s.until(() -> first.getInputStream().available() + second.getInputStream().available() > 0);
-                Socket there = first.getInputStream().available() > 0 ? first : second;
-                Socket elsewhere = there == first ? second : first;
-                there.getOutputStream().write(trunk.encode("release 01 47").getBytes());
-                there.getOutputStream().write(trunk.encode("release 01 47").getBytes());
-                s.until(() -> elsewhere.getInputStream().available() > 0);
-                there.getOutputStream().write(trunk.encode("release 01 47").getBytes());
-                assertThat(there.getInputStream().read()).as("it is heard").isNotNegative();
-                elsewhere.getOutputStream().write(trunk.encode("answer 01 desc").getBytes());
-                s.play("e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01");
+                boolean isFirst = first.getInputStream().available() > 0;
+                crossing.play(server, isFirst ? first : second, isFirst ? second : first);
             }
         }
     }
 
+    private static void says(Socket at, String message) throws IOException {
+        at.getOutputStream().write(new TrunkDialect().encode(message).getBytes());
+    }
+
+    /** Guards against two attempts out: what a server says of a call on another connection is not of the present attempt. */
+    @Test
+    void aRefusalOnAnotherConnectionDoesNotEndTheAttempt() throws IOException {
+        crossing((server, there, elsewhere) -> {
+            says(elsewhere, "release 01 34 cpu_full");
+            assertThat(elsewhere.getInputStream().read()).as("it is heard").isNotNegative();
+            says(there, "answer 01 desc");
+            s.play("e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01");
+        });
+    }
+
+    /** Guards against a third set-up beside the second: a copy of the first one's end is no end of the second. */
+    @Test
+    void aSecondCopyOfARefusalDoesNotEndTheNextAttemptAtTheSameServer() throws IOException {
+        crossing((server, there, elsewhere) -> {
+            says(there, "release 01 47");
+            says(there, "release 01 47");
+            s.until(() -> elsewhere.getInputStream().available() > 0);
+            says(there, "release 01 47");
+            assertThat(there.getInputStream().read()).as("it is heard").isNotNegative();
+            says(elsewhere, "answer 01 desc");
+            s.play("e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01");
+        });
+    }
+
     /** Guards the one end of an attempt: the reset behind a refusal is of nothing any more. */
     @Test
     void aRefusalAndAResetInOneReadAreOneEnd() throws IOException {
-        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
-            server.setSoTimeout(20_000);
-            s.client("e", new SipDialect(), starts(endpoint("s3", server.getLocalPort(), 0), endpoint("s1", ports1, 1)));
-            try (Socket first = server.accept(); Socket second = server.accept()) {
-                s.play("e > INVITE 01");
-                s.until(() -> first.getInputStream().available() + second.getInputStream().available() > 0);
-                Socket there = first.getInputStream().available() > 0 ? first : second;
-                there.setSoLinger(true, 0);
-                there.getOutputStream().write(new TrunkDialect().encode("release 01 34").getBytes());
-                there.close();
-                s.play("s1 < set-up 01*\n s1 has no more\n s1 > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01");
-            }
-        }
+        crossing((server, there, elsewhere) -> {
+            there.setSoLinger(true, 0);
+            says(there, "release 01 34");
+            there.close();
+            s.play("s1 < set-up 01*\n s1 has no more\n s1 > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01");
+        }, endpoint("s1", ports1, 1));
     }
 
     /** Guards the caller's one answer and the 500 ms: half an answer is none, and the attempt may have run. */
     @Test
     void aResetHalfWayThroughAnAnswerEndsTheAttemptAndTheNextWaits() throws IOException {
         byte[] answer = new TrunkDialect().encode("answer 01 desc").getBytes();
-        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
-            server.setSoTimeout(20_000);
-            s.client("e", new SipDialect(), starts(endpoint("s3", server.getLocalPort(), 0), endpoint("s1", ports1, 1)));
-            try (Socket first = server.accept(); Socket second = server.accept()) {
-                s.play("e > INVITE 01");
-                s.until(() -> first.getInputStream().available() + second.getInputStream().available() > 0);
-                Socket there = first.getInputStream().available() > 0 ? first : second;
-                there.setSoLinger(true, 0);
-                there.getOutputStream().write(answer, 0, answer.length - 2);
-                there.close();
-                server.accept().close();
-                s.play("e has no more\n wait 400\n s1 has no more\n wait 200\n s1 < set-up 01*\n s1 > answer 01 desc\n"
-                    + "e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01\n e has no more");
-            }
-        }
+        crossing((server, there, elsewhere) -> {
+            there.setSoLinger(true, 0);
+            there.getOutputStream().write(answer, 0, answer.length - 2);
+            there.close();
+            server.accept().close();
+            s.play("""
+                e has no more
+                wait 400
+                s1 has no more
+                wait 200
+                s1 < set-up 01*
+                s1 > answer 01 desc
+                e < 200 INVITE 01 desc
+                e > BYE 01
+                e < 200 BYE 01
+                e has no more""");
+        }, endpoint("s1", ports1, 1));
     }
 
     /** A server that goes, and another that comes at its address within one list: its calls are cut, new ones go there. */
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -145,29 +145,6 @@
             s1 has no more""");
     }
 
-    /** Guards against two attempts out: what a server says of a call on another connection is not of the present attempt. */
-    @Test
-    void aRefusalOnAnotherConnectionDoesNotEndTheAttempt() throws IOException {
-        TrunkDialect trunk = new TrunkDialect();
-        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
-            server.setSoTimeout(20_000);
-            Node other = s.on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null,
-                null, 0, List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)), 64, Sites.settings()), s.clock, s.clock,
-                log::add));
-            s.client("e", new SipDialect(), s.await(other::start));
-            try (Socket first = accepted(server); Socket second = accepted(server)) {
-                s.play("e > INVITE 01");
-                s.until(() -> first.getInputStream().available() + second.getInputStream().available() > 0);
-                Socket there = first.getInputStream().available() > 0 ? first : second;
-                Socket elsewhere = there == first ? second : first;
-                elsewhere.getOutputStream().write(trunk.encode("release 01 34 cpu_full").getBytes());
-                assertThat(elsewhere.getInputStream().read()).as("it is heard").isNotNegative();
-                there.getOutputStream().write(trunk.encode("answer 01 desc").getBytes());
-                s.play("e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01");
-            }
-        }
-    }
-
     /** A server that reads nothing: what the network has not taken is taken back with its connection, nothing else is. */
     @Test
     void whileItsBytesWereStuckInAConnection() throws IOException {
