Subset: a gatekeeper that starts again draws the servers that it had before

Seen: read, for restarts with some hundreds of servers. At fault: Node's call of Subset, Subset.of's first draw. Now: drawn by name and callers' address; at the first draw servers that drain come along where they would be drawn.

--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -53,7 +53,7 @@
         trunk.attach(core);
         // A quarter is left for those that replace others and for spare connections.
         subset = new Subset(connections - connections / 4, config.settings().familyInfo().shape().equals("pools")
-            ? config.settings().familyInfo().poolsByClass() : List.of(), config.seed(), log);
+            ? config.settings().familyInfo().poolsByClass() : List.of(), config.name() + "@" + config.listen(), log);
         front = new SipFront(vertx, config.settings(), config.sockets(), core, clock, timers, log);
         trunk.onStray(front::releaseStray);
         front.onStray(trunk::releaseStray);
--- a/src/main/java/grebewick/discovery/Subset.java
+++ b/src/main/java/grebewick/discovery/Subset.java
@@ -14,7 +14,8 @@
 /**
  * The servers that this gatekeeper works with, where the list has more than its descriptors bear. Guards standing calls,
  * which need a connection with their server to be told of their end: whoever is chosen stays so while it is listed, and a
- * server that drains is followed by another at once. Gatekeepers draw differently, so that together they use all servers.
+ * server that drains is followed by another at once. Gatekeepers draw differently, so that together they use all servers;
+ * one that starts again draws as before: the ends of calls of before its start come from the servers that it had then.
  */
 public final class Subset {
     private final int most;
@@ -25,17 +26,21 @@
     private final Set<String> chosen = new HashSet<>();
     private boolean parts;
 
-    /** At most {@code most} servers that take calls; {@code pools} may be empty: any server takes any call. */
-    public Subset(int most, Collection<? extends Collection<Integer>> pools, long seed, Consumer<String> log) {
+    /**
+     * At most {@code most} servers that take calls; {@code pools} may be empty: any server takes any call. {@code self}: what
+     * tells this gatekeeper from others, and stays over restarts.
+     */
+    public Subset(int most, Collection<? extends Collection<Integer>> pools, String self, Consumer<String> log) {
         this.most = most;
         this.pools = pools.isEmpty() ? List.of(Set.of()) : pools.stream().map(Set::<Integer>copyOf).toList();
-        this.seed = seed;
+        seed = self.hashCode() * 0x9e3779b97f4a7c15L;
         this.log = log;
     }
 
     /** What is chosen of a list, in its order: all of it where that is not too much. */
     public List<Endpoint> of(List<Endpoint> list) {
         chosen.retainAll(list.stream().map(e -> e.entry().server()).toList());
+        boolean first = chosen.isEmpty();
         List<Endpoint> rest = new ArrayList<>();
         int inUse = 0;
         for (Endpoint e : list) {
@@ -49,6 +54,10 @@
             list.forEach(e -> chosen.add(e.entry().server()));
             return list;
         }
+        if (first) {
+            // One that drains gets nothing, but may hold calls of before the start: it comes along where it would be drawn.
+            list.stream().filter(e -> e.entry().stage() != Stage.HEALTHY).forEach(rest::add);
+        }
         rest.sort(Comparator.comparingLong(e -> rank(e.entry().server())));
         // Class by class in turn, so that each has its share of what is left.
         List<Set<Integer>> open = new ArrayList<>(pools);
@@ -63,7 +72,7 @@
                 } else {
                     rest.remove(next);
                     chosen.add(next.entry().server());
-                    inUse++;
+                    inUse += next.entry().stage() == Stage.HEALTHY ? 1 : 0;
                 }
             }
         }
