A last answer is a refusal only where no attempt can have run

Gatekeeper.answerAll called it a refusal, "trying again is harmless", where the last attempt had failed at its server: only time-outs, resets and cancels counted. Checked: GatekeeperTest with each end of an attempt; fails without (one run). At fault: Gatekeeper.lastAnswer, which looked at the release time alone.

--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -172,7 +172,9 @@
         life.out = null;
         if (state == State.TIMED_OUT || state == State.RESET_BY_PEER || state == State.CANCELED) {
             life.notBeforeUs = nowUs + set.familyInfo().releaseUs();
+            life.mayHaveRun |= out.left;
         }
+        life.mayHaveRun |= state == State.FAILED;
         if (life.answered) {
             calls.remove(life.id);
         }
@@ -289,7 +291,7 @@
     /** A refusal where no server can have run the call. */
     private void lastAnswer(long call) {
         answerNow(call, life -> {
-            if ((life.out == null || !life.out.left) && life.notBeforeUs == Long.MIN_VALUE) {
+            if ((life.out == null || !life.out.left) && !life.mayHaveRun) {
                 life.caller.refused(call, set.bounds().maxRetryAfterUs());
             } else {
                 life.caller.failed(call);
@@ -483,6 +485,8 @@
         Out out;
         boolean answered;
         boolean cut;
+        /** An attempt ended in a way that does not prove that it never ran. */
+        boolean mayHaveRun;
         String standsAt;
         long stoodUs;
         long notBeforeUs = Long.MIN_VALUE;
--- a/src/test/java/grebewick/LoopTest.java
+++ b/src/test/java/grebewick/LoopTest.java
@@ -56,6 +56,29 @@
         assertThat(done).containsExactly("answered at 56", "gone at 60");
     }
 
+    /** Guards an answer that is half written when the signal comes: the process stays until the network has taken it. */
+    @Test
+    void bytesThatHaveNotLeftKeepAProcessThatIsToldToEnd() {
+        long[] bytes = {1};
+        new Leave(() -> nowUs, (us, run) -> {
+            task = () -> {
+                nowUs += us;
+                run.run();
+            };
+            return () -> { };
+        }, 3_000_000, () -> new Debts(0, 0, 0, bytes[0]), () -> Work.NONE, log::add, () -> log.add("answers"),
+            () -> log.add("gone")).start();
+        for (int i = 0; i < 100; i++) {
+            task.run();
+        }
+        assertThat(log).isEmpty();
+        bytes[0] = 0;
+        task.run();
+        assertThat(log).as("one look more").isEmpty();
+        task.run();
+        assertThat(log).containsExactly("ends: nothing is owed", "gone");
+    }
+
     /** Guards the processor: a select that is asked for less than a millisecond spins through it. */
     @Test
     void whatIsToSleepSleepsForWholeMilliseconds() {
--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -99,6 +99,20 @@
         assertThat(late.calls()).isZero();
     }
 
+    /** Guards calls that may not be repeated: a refusal says that trying again is harmless. */
+    @Test
+    void whoIsAnsweredAtTheEndIsRefusedOnlyIfNothingCanHaveRun() {
+        for (State state : new State[] {State.QUEUE_FULL, State.CONNECT_ERROR, State.IGNORED, State.FAILED, State.RESET_BY_PEER}) {
+            happened.clear();
+            long c = call();
+            acts(new Attempt(c, "s1", 0));
+            core.ended(c, 0, state, 0, List.of());
+            core.answerAll();
+            boolean never = state == State.QUEUE_FULL || state == State.CONNECT_ERROR || state == State.IGNORED;
+            assertThat(happened).as(state.name()).containsExactly("set-up s1", never ? "refused" : "failed");
+        }
+    }
+
     @Test
     void oneAnswerWhateverTheModuleSaysAfterIt() {
         long c = call();
