--- a/src/test/java/grebewick/CrossingsTest.java
+++ b/src/test/java/grebewick/CrossingsTest.java
@@ -142,6 +142,25 @@
         }
     }
 
+    /** Guards what was taken against the end of the process: the signal comes between its last byte and its attempt. */
+    @Test
+    void aSetUpThatWasTakenBeforeTheSignalIsServed() {
+        s.play("loop is late\n c > INVITE 01\n c has no more");
+        s.on(() -> {
+            node.failTests();
+            node.refuseCalls();
+            return null;
+        });
+        s.play("loop is caught-up\n s1 < set-up 01*\n s1 > answer 01 desc\n c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01");
+    }
+
+    /** Guards calls against a server that dies between its choice and the write, once that is read: nothing has left, another has it. */
+    @Test
+    void aServerThatDiesBetweenTheChoiceAndTheWriteCostsNoCall() {
+        s.play("loop is late\n c > INVITE 01\n c has no more\n s1 stops\n d has no more\n loop is caught-up\n s2 < set-up 01*\n s2 > answer 01 desc\n"
+            + "c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01\n s2 < release 01 16");
+    }
+
     // ---- servers' connections: e calls, s3 is a server whose two connections the test holds itself
 
     private interface Crossing {
--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -99,6 +99,25 @@
         assertThat(late.calls()).isZero();
     }
 
+    /** Guards the one answer: a loop that came late reads the server's at the call's end, before the timer of it. */
+    @Test
+    void anAnswerInTheTurnOfTheDeadlineIsTheOnlyOne() {
+        AtomicLong stoodStillUs = new AtomicLong();
+        Gatekeeper<String> late = new Gatekeeper<>(Sites.settings(), (now, event, out) -> {
+            if (event instanceof Call call) {
+                out.accept(new Attempt(call.call(), "s1", 0));
+            }
+        }, () -> clock.nowUs() + stoodStillUs.get(), clock, this, (peer, bytes) -> { }, line -> { });
+        late.fleet(new Fleet(Scope.PERSISTED, 1, List.of(Sites.entry("s1", 0, Stage.HEALTHY, 0))), Map.of());
+        long c = late.offer(new Offer<>(1, "a", "55", 1_000_000, false, false, 1, 0, -1, "offer"), this);
+        stoodStillUs.set(950_000);
+        assertThat(late.stood(c, 0, "desc", List.of())).isTrue();
+        clock.pass(2_000_000);
+        late.over(c, Ending.NORMAL, List.of());
+        assertThat(happened).hasSize(3).doesNotContain("failed", "refused", "give-up s1");
+        assertThat(late.calls()).isZero();
+    }
+
     /** Guards calls that may not be repeated: a refusal says that trying again is harmless. */
     @Test
     void whoIsAnsweredAtTheEndIsRefusedOnlyIfNothingCanHaveRun() {
