CallerLine: the end of a connection whose caller reads nothing is its own timer

Read once more: counted looks and a second set of lines stood for what one timer says, as in Diameter's Connection.close. The same 2 s, only where something is unwritten. CrossingsTest's caller that reads nothing asks for it as before.

--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -1,5 +1,6 @@
 package grebewick.sip;
 
+import grebewick.core.Timers;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
@@ -14,6 +15,9 @@
     /** us. Without a word, after which a caller that has asked is taken not to be asking. */
     private static final long REST_US = 500_000;
 
+    /** us. In which a caller has to take what was written before its connection was closed. */
+    private static final long FAREWELL_US = 2_000_000;
+
     final NetSocket socket;
     final SipCodec codec = new SipCodec();
     final long sinceUs;
@@ -34,12 +38,12 @@
     /** Set-ups in a row that were of no use to anybody. */
     int useless;
     boolean closed;
-    /** Looks at it since it was closed from this side, by {@link CallerLines#sweep}. */
-    int looks;
+    private final Timers timers;
     private int unread;
 
-    CallerLine(NetSocket socket, long nowUs) {
+    CallerLine(NetSocket socket, Timers timers, long nowUs) {
         this.socket = socket;
+        this.timers = timers;
         sinceUs = nowUs;
         heardUs = nowUs;
     }
@@ -75,10 +79,9 @@
     void close() {
         closed = true;
         socket.close();
-    }
-
-    /** Closes it with what it has not sent. Vert.x's own close waits until all that was written has left. */
-    void abort() {
-        ((NetSocketInternal) socket).channelHandlerContext().close();
+        if (unread > 0) {
+            // Guards the descriptors: Vert.x's close waits until all that was written has left, and this caller may read nothing.
+            timers.after(FAREWELL_US, () -> ((NetSocketInternal) socket).channelHandlerContext().close());
+        }
     }
 }
--- a/src/main/java/grebewick/sip/CallerLines.java
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -19,13 +19,8 @@
      */
     static final long IDLE_US = 6_000_000;
 
-    /** Looks, four a second, in which a caller has to take what was written before its connection was closed. */
-    private static final int FAREWELL_LOOKS = 8;
-
     private final int most;
     private final Set<CallerLine> all = new LinkedHashSet<>();
-    /** Had to go for others, and are not closed yet. */
-    private final Set<CallerLine> leaving = new LinkedHashSet<>();
 
     CallerLines(int most) {
         this.most = most;
@@ -41,12 +36,10 @@
             victim = victim != null ? victim : eldest(l -> l.rests(nowUs));
             victim = victim != null ? victim : eldest(l -> l.open.isEmpty() && nowUs - l.heardUs >= IDLE_US);
             if (victim == null) {
-                leaving.add(line);
                 line.close();
                 return;
             }
             remove(victim);
-            leaving.add(victim);
             victim.close();
         }
         all.add(line);
@@ -64,7 +57,6 @@
 
     void remove(CallerLine line) {
         all.remove(line);
-        leaving.remove(line);
     }
 
     /** Whether it is still there to be written to. */
@@ -103,25 +95,15 @@
         return sum;
     }
 
-    /** Closes what has been silent, half said or idle for too long, and has no call; ends what does not close. */
+    /** Closes what has been silent, half said or idle for too long, and has no call. */
     void sweep(long nowUs) {
         for (CallerLine line : List.copyOf(all)) {
             boolean silent = !line.spoke && nowUs - line.sinceUs >= WORD_US;
             boolean half = line.halfUs > 0 && nowUs - line.halfUs >= WORD_US;
             boolean idle = nowUs - line.heardUs >= IDLE_US;
-            if (line.closed) {
-                farewell(line);
-            } else if (line.open.isEmpty() && line.standing == 0 && (silent || half || idle)) {
+            if (!line.closed && line.open.isEmpty() && line.standing == 0 && (silent || half || idle)) {
                 line.close();
             }
         }
-        List.copyOf(leaving).forEach(CallerLines::farewell);
-    }
-
-    /** Guards the descriptors: a connection whose caller reads nothing would not close before it does. */
-    private static void farewell(CallerLine line) {
-        if (++line.looks > FAREWELL_LOOKS) {
-            line.abort();
-        }
     }
 }
