--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Tasks for people; .ci/run calls `test`.
-.PHONY: build test lint rush run clean
+.PHONY: build test format lint rush run clean
 
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"   \#.*/\1/p' deploy/balancer.toml)
 
@@ -10,6 +10,9 @@
 test:             ## all tests, no bench needed
 	mvn -B -ntp verify
 
+format:           ## lays the sources out as .formatter/eclipse.xml says
+	mvn -B -ntp -q formatter:format
+
 lint:             ## the compiler's own warnings, all of them errors
 	mvn -B -ntp -q clean compile -Dmaven.compiler.failOnWarning=true -Dmaven.compiler.showWarnings=true
 
