--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -74,7 +74,8 @@
         if (config != null) {
             node = new Node(vertx, config, clock, timers, Daemon::log);
             new LoopWatch(clock, timers, this::work, Daemon::log).start();
-            node.start().onSuccess(port -> log(config.name() + " serves at " + config.listen().host() + ":" + port)).onFailure(e -> fail(config.listen(), e));
+            node.start().onSuccess(port -> log(config.name() + " serves at " + config.listen().host() + ":" + port))
+                .onFailure(e -> fail(config.listen(), e));
         }
         if (second != null) {
             diameter = new DiameterNode(vertx, second, System.nanoTime(), clock, timers, Daemon::log);
--- a/src/main/java/grebewick/Debts.java
+++ b/src/main/java/grebewick/Debts.java
@@ -21,6 +21,7 @@
 
     @Override
     public String toString() {
-        return standing + " calls standing, " + unanswered + " unanswered, " + ends + " ends untold, " + bytes + " bytes unwritten";
+        return standing + " calls standing, " + unanswered + " unanswered, " + ends + " ends untold, " + bytes
+            + " bytes unwritten";
     }
 }
--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -8,7 +8,7 @@
 
 /** The command line: {@code serve} runs a gatekeeper, {@code benchlink} the simulator's adapter, {@code rehearse} a few calls. */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     /** Runs the command; exits with 2 on a bad command line or configuration. */
     public static void main(String[] args) throws Exception {
--- a/src/main/java/grebewick/Rehearsal.java
+++ b/src/main/java/grebewick/Rehearsal.java
@@ -41,7 +41,7 @@
     private final CountDownLatch done = new CountDownLatch(1);
     private int calls;
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /** Plays it; gives the outcomes of the calls by name. */
     static String run() throws Exception {
@@ -49,8 +49,8 @@
     }
 
     private String play() throws Exception {
-        StandInServer server = new StandInServer(vertx, 2, 20, 3, id -> { });
-        StandInServer other = new StandInServer(vertx, 2, 20, 1, id -> { });
+        StandInServer server = new StandInServer(vertx, 2, 20, 3, id -> {});
+        StandInServer other = new StandInServer(vertx, 2, 20, 1, id -> {});
         StandInNames names = new StandInNames(vertx);
         int port = freePort();
         int serverPort = await(() -> server.listen(0));
--- a/src/main/java/grebewick/Signals.java
+++ b/src/main/java/grebewick/Signals.java
@@ -7,7 +7,7 @@
  * the compiler's warning about it cannot be answered, and a JVM without it shall still serve.
  */
 final class Signals {
-    private Signals() { }
+    private Signals() {}
 
     /** Runs the task for each such signal, on a thread of its own; false where this JVM has no such thing. */
     static boolean on(String name, Runnable task) {
--- a/src/main/java/grebewick/benchlink/Adapter.java
+++ b/src/main/java/grebewick/benchlink/Adapter.java
@@ -10,7 +10,7 @@
 
 /** Speaks the simulator's wire on standard input and output. */
 public final class Adapter {
-    private Adapter() { }
+    private Adapter() {}
 
     /** Runs until the input ends; gives the exit code, 0 at the end of input and 1 on bad input. */
     public static int run() throws IOException {
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -40,8 +40,8 @@
     private final Consumer<String> log;
     private final Map<Long, Life<P>> calls = new HashMap<>();
     private final Map<String, Stage> fleet = new HashMap<>();
-    private final PriorityQueue<Wake> wakes =
-        new PriorityQueue<>(Comparator.comparingLong(Wake::atUs).thenComparingLong(Wake::order));
+    private final PriorityQueue<Wake> wakes = new PriorityQueue<>(
+        Comparator.comparingLong(Wake::atUs).thenComparingLong(Wake::order));
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     /** Calls that can't stand any more, and are yet to be ended; the eldest first. */
     private final ArrayDeque<Long> cuts = new ArrayDeque<>();
@@ -53,7 +53,7 @@
     private long nextCall = 1;
     private long nowUs;
     private long armedUs = Long.MAX_VALUE;
-    private Runnable armed = () -> { };
+    private Runnable armed = () -> {};
     private boolean turning;
     private int unanswered;
     /** Attempts that wait for what has come in to be read. */
@@ -238,7 +238,7 @@
         turn(() -> {
             Life<P> life = calls.get(call);
             if (life != null && !life.answered) {
-                answer(life, () -> { });
+                answer(life, () -> {});
                 inbox.add(new Hangup(call));
                 if (life.out != null) {
                     giveUp(life, State.CANCELED);
@@ -370,7 +370,7 @@
 
     private void wake() {
         armedUs = Long.MAX_VALUE;
-        turn(() -> { });
+        turn(() -> {});
     }
 
     /** Calls that still want their answer. */
@@ -518,5 +518,5 @@
     }
 
     /** {@code call} 0: the module's reminder; {@link #CUTS}: more calls to cut; else the end of attempt {@code name}, negative: of the call. */
-    private record Wake(long atUs, long order, long call, long name) { }
+    private record Wake(long atUs, long order, long call, long name) {}
 }
--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -354,7 +354,7 @@
                     fault(s, 0.15);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -454,7 +454,7 @@
         }
         Throttle number = numbers.get(p.call.item());
         if (number != null && number.limit != OFF
-                && (number.open >= number.limit || nowUs < number.pausedUntilUs)) {
+            && (number.open >= number.limit || nowUs < number.pausedUntilUs)) {
             giveUp(p, set.bounds().maxRetryAfterUs());
             return;
         }
@@ -750,7 +750,7 @@
         }
         boolean late = Math.max(nowUs, p.releaseUs) >= p.aimUs;
         if (p.attempts >= set.bounds().attemptsCap() || p.releaseUs >= p.call.dropDeadUs() || p.call.passing()
-                || mayHaveRun && p.grade.effect().equals("fragile") || late && p.grade.lateValue() <= 0) {
+            || mayHaveRun && p.grade.effect().equals("fragile") || late && p.grade.lateValue() <= 0) {
             giveUp(p, tdUs);
             return;
         }
@@ -808,7 +808,7 @@
                 case "can_take" -> s.canTake = v >= 0 ? v : s.canTake;
                 case "queue" -> s.queue = v >= 0 ? v : s.queue;
                 case "latency_ms" -> waitUs = v >= 0 ? v * 1000 : waitUs;
-                default -> { }
+                default -> {}
             }
         }
         if (s.usualLines > 0 && s.free >= 0 && s.size >= s.free) {
@@ -923,7 +923,7 @@
         long pausedUntilUs = Long.MIN_VALUE;
     }
 
-    private record Out(Server server, int copy, long sentUs, String item) { }
+    private record Out(Server server, int copy, long sentUs, String item) {}
 
     private final class Pending {
         final Call call;
--- a/src/main/java/grebewick/core/Offer.java
+++ b/src/main/java/grebewick/core/Offer.java
@@ -6,4 +6,4 @@
  * {@code leftUs} is how long the caller still waits.
  */
 public record Offer<P>(long id, String band, String item, long leftUs, boolean isRetry, boolean reconnect,
-                    double units, int farEnd, double hop, P description) { }
+                       double units, int farEnd, double hop, P description) {}
--- a/src/main/java/grebewick/diameter/Connection.java
+++ b/src/main/java/grebewick/diameter/Connection.java
@@ -117,7 +117,7 @@
 
     /** Sends a request under a hop-by-hop id of its own; the handler gets the answer, or null if none can come. */
     void request(DiameterMessage m, Consumer<DiameterMessage> onAnswer) {
-        request(m, onAnswer, () -> { });
+        request(m, onAnswer, () -> {});
     }
 
     /** {@code sent} is run once the network has it. */
@@ -139,7 +139,7 @@
     void sendWatchdog() {
         List<Avp> avps = new ArrayList<>(me.origin());
         avps.add(Avp.unsigned(Avp.ORIGIN_STATE_ID, me.stateId()));
-        request(own(DEVICE_WATCHDOG, avps), answer -> { });
+        request(own(DEVICE_WATCHDOG, avps), answer -> {});
     }
 
     /** Says that this node goes (cause REBOOTING) and closes once the peer has answered. */
--- a/src/main/java/grebewick/diameter/DiameterConfig.java
+++ b/src/main/java/grebewick/diameter/DiameterConfig.java
@@ -25,7 +25,7 @@
     private static final long LEAST_WATCHDOG_MS = 6_000;
 
     /** A server that authorises. */
-    record Peer(String host, Address address, int group, String zone) { }
+    record Peer(String host, Address address, int group, String zone) {}
 
     /** Reads the file. */
     public static DiameterConfig load(String path) {
--- a/src/main/java/grebewick/diameter/DiameterNode.java
+++ b/src/main/java/grebewick/diameter/DiameterNode.java
@@ -37,7 +37,7 @@
         Identity me = new Identity(config.host(), config.realm(), clock.nowUs() / 1_000_000);
         servers = new DiameterServers(vertx, config, me, clock, timers, log);
         core = new Gatekeeper<>(config.settings(), new Logic(config.settings(), seed), clock, timers, servers,
-            (peer, bytes) -> { }, log);
+            (peer, bytes) -> {}, log);
         front = new DiameterFront(config, me, core, clock, timers, log);
     }
 
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -178,7 +178,8 @@
      */
     private void takeBack(Leg leg) {
         if (!leg.sent && leg.on.isOpen() && leg.on.isStuck()) {
-            log.accept("diameter: " + leg.at.peer.host() + " did not take a request that was given up since; its connection is closed");
+            log.accept(
+                "diameter: " + leg.at.peer.host() + " did not take a request that was given up since; its connection is closed");
             leg.on.abort();
         }
     }
@@ -218,7 +219,8 @@
         avps.add(Avp.text(Avp.DESTINATION_HOST, leg.at.peer.host()));
         avps.add(Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ));
         avps.add(Avp.unsigned(Avp.TERMINATION_CAUSE, cause));
-        owed.owe(new Owed(leg.at, leg.session), new DiameterMessage(REQUEST | PROXIABLE, SESSION_TERMINATION, NASREQ, 0, nextEndToEnd++, avps), null);
+        owed.owe(new Owed(leg.at, leg.session),
+            new DiameterMessage(REQUEST | PROXIABLE, SESSION_TERMINATION, NASREQ, 0, nextEndToEnd++, avps), null);
     }
 
     /** The server ends a session: it is told so, gets its STR, and the client is told. */
@@ -257,8 +259,8 @@
             if (stopping) {
                 return;
             }
-            client.connect(peer.address().socket()).onSuccess(socket -> connection =
-                new Connection(socket, me, true, timers, config.watchdogUs(), this, log))
+            client.connect(peer.address().socket())
+                .onSuccess(socket -> connection = new Connection(socket, me, true, timers, config.watchdogUs(), this, log))
                 .onFailure(e -> timers.after(config.reconnectUs(), this::connect));
         }
 
@@ -338,7 +340,7 @@
     }
 
     /** The end of one session at one server. */
-    private record Owed(Upstream at, String session) { }
+    private record Owed(Upstream at, String session) {}
 
     /** A session's end is told to its own server alone. */
     private final class ToPeers implements Ways<Owed, DiameterMessage, Connection> {
--- a/src/main/java/grebewick/diameter/Watchdog.java
+++ b/src/main/java/grebewick/diameter/Watchdog.java
@@ -32,7 +32,7 @@
     private State state = State.INITIAL;
     private boolean pending;
     private int answered;
-    private Runnable timer = () -> { };
+    private Runnable timer = () -> {};
 
     /** {@code twUs} is Tw, of which up to {@code jitterUs} is added or taken. */
     Watchdog(Timers timers, Peer peer, long twUs, long jitterUs, long seed) {
@@ -84,7 +84,7 @@
                     become(State.OKAY);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -110,7 +110,7 @@
                 }
                 arm();
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/grebewick/lab/Rush.java
+++ b/src/main/java/grebewick/lab/Rush.java
@@ -38,12 +38,13 @@
     /** Stand-in processes; with more servers than that, several share one. */
     private static final int MOST_PROCESSES = 8;
 
-    private Rush() { }
+    private Rush() {}
 
     /** Prints a table; exits with 1 where an end was not told within a second. */
     public static void main(String[] args) throws Exception {
-        Map<String, Long> set = new HashMap<>(Map.of("rate", 50L, "seconds", 20L, "hold", 700L, "cut", 0L, "work", 30L, "lines", 2000L,
-            "servers", 2L, "peers", 1L, "sockets", 512L));
+        Map<String, Long> set = new HashMap<>(
+            Map.of("rate", 50L, "seconds", 20L, "hold", 700L, "cut", 0L, "work", 30L, "lines", 2000L,
+                "servers", 2L, "peers", 1L, "sockets", 512L));
         int split = Arrays.asList(args).indexOf("--");
         for (String arg : Arrays.asList(args).subList(0, split < 0 ? args.length : split)) {
             String[] pair = arg.split("=", 2);
@@ -113,8 +114,8 @@
                 }
             });
             if (set.get("cut") > 0) {
-                vertx.setTimer(set.get("cut") * 1000, t ->
-                    System.out.println("cut " + servers.stream().mapToInt(StandInServer::cutAll).sum() + " calls at once"));
+                vertx.setTimer(set.get("cut") * 1000,
+                    t -> System.out.println("cut " + servers.stream().mapToInt(StandInServer::cutAll).sum() + " calls at once"));
             }
             long before = 0;
             for (long s = 5; s <= seconds; s += 5) {
@@ -126,8 +127,10 @@
             }
             done.await(seconds + 10, TimeUnit.SECONDS);
             String[] open = new File("/proc/" + gatekeeper.pid() + "/fd").list();
-            System.out.println("memory, kB at most: " + Files.readAllLines(Path.of("/proc/" + gatekeeper.pid() + "/status")).stream()
-                .filter(line -> line.startsWith("VmHWM")).map(line -> line.replaceAll("\\D", "")).findFirst().orElse("not told")
+            System.out.println("memory, kB at most: "
+                + Files.readAllLines(Path.of("/proc/" + gatekeeper.pid() + "/status")).stream()
+                    .filter(line -> line.startsWith("VmHWM")).map(line -> line.replaceAll("\\D", "")).findFirst()
+                    .orElse("not told")
                 + "; descriptors: " + (open == null ? "not told" : open.length));
             Thread.sleep(200);
             return report(callers, endedUs, before);
@@ -172,7 +175,8 @@
             Long heard = callers.overUs().get(e.getKey());
             untold += heard == null || heard - e.getValue() > 1_000_000 ? 1 : 0;
             if (heard == null || heard - e.getValue() > 1_000_000) {
-                System.out.println("call " + e.getKey() + " was told " + (heard == null ? "never" : heard - e.getValue() + " us after its end"));
+                System.out.println(
+                    "call " + e.getKey() + " was told " + (heard == null ? "never" : heard - e.getValue() + " us after its end"));
             }
             told.add(heard == null ? Long.MAX_VALUE : heard - e.getValue());
         }
@@ -186,7 +190,8 @@
             return "none";
         }
         us.sort(Long::compare);
-        return us.size() + " of them, median " + us.get(us.size() / 2) + ", 99 % " + us.get((int) (us.size() * 0.99)) + ", most " + us.get(us.size() - 1);
+        return us.size() + " of them, median " + us.get(us.size() / 2) + ", 99 % " + us.get((int) (us.size() * 0.99)) + ", most "
+            + us.get(us.size() - 1);
     }
 
     /** Processor time of a process by the names of its threads, ms; Linux alone tells it. */
--- a/src/main/java/grebewick/lab/StandInCallers.java
+++ b/src/main/java/grebewick/lab/StandInCallers.java
@@ -78,7 +78,8 @@
         vertx.setTimer(deadlineMs, t -> {
             if (asked.remove(id) != null) {
                 count("gave up");
-                write(on, SipMessage.request("CANCEL", bare.uri(), new Header("Call-ID", hex(id)), new Header("CSeq", "1 CANCEL")));
+                write(on,
+                    SipMessage.request("CANCEL", bare.uri(), new Header("Call-ID", hex(id)), new Header("CSeq", "1 CANCEL")));
             }
         });
     }
--- a/src/main/java/grebewick/lab/StandInNames.java
+++ b/src/main/java/grebewick/lab/StandInNames.java
@@ -27,7 +27,7 @@
     private static final String FLEET = "_work._tcp.fleet.local.";
 
     /** One server: id, zone, port on loopback, group, whether it drains, when it started (Unix ms, 0: long ago). */
-    public record Host(String id, String zone, int port, int group, boolean drains, long startedMs) { }
+    public record Host(String id, String zone, int port, int group, boolean drains, long startedMs) {}
 
     private final DatagramSocket socket;
     private final Map<Name, Host> hosts = new LinkedHashMap<>();
@@ -77,8 +77,8 @@
         Host host = hosts.get(asked.getName());
         if (asked.getType() == Type.SRV) {
             Name fleet = Name.fromString(FLEET);
-            hosts.forEach((name, h) ->
-                m.addRecord(new SRVRecord(fleet, DClass.IN, 0, h.drains ? 1 : 0, 40, h.port, name), Section.ANSWER));
+            hosts.forEach(
+                (name, h) -> m.addRecord(new SRVRecord(fleet, DClass.IN, 0, h.drains ? 1 : 0, 40, h.port, name), Section.ANSWER));
         } else if (host != null && asked.getType() == Type.A) {
             m.addRecord(new ARecord(asked.getName(), DClass.IN, 0, InetAddress.getByName("127.0.0.1")), Section.ANSWER);
         } else if (host != null && asked.getType() == Type.TXT) {
--- a/src/main/java/grebewick/lab/StandInServer.java
+++ b/src/main/java/grebewick/lab/StandInServer.java
@@ -99,7 +99,8 @@
             case SET_UP -> {
                 setUps++;
                 if (standing.size() >= lines) {
-                    write(from, new TrunkMessage(RELEASE, m.call(), "", "", -1, "all_trunks_busy", report(), NO_CIRCUIT, new byte[0]));
+                    write(from,
+                        new TrunkMessage(RELEASE, m.call(), "", "", -1, "all_trunks_busy", report(), NO_CIRCUIT, new byte[0]));
                     return;
                 }
                 standing.put(m.call(), from);
@@ -118,7 +119,7 @@
                 write(from, of(RELEASED, m.call(), -1));
             }
             case TEST -> write(from, new TrunkMessage(TESTED, m.call(), "", "", -1, "", report(), 1, new byte[0]));
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/grebewick/names/FleetPoller.java
+++ b/src/main/java/grebewick/names/FleetPoller.java
@@ -189,7 +189,8 @@
 
     /** The list that was read last, but for its id: ten times a second nothing has changed, and reading is dear. */
     private boolean isRepeat(byte[] bytes) {
-        return last.length > 2 && drains.isEmpty() && Arrays.equals(bytes, Math.min(2, bytes.length), bytes.length, last, 2, last.length);
+        return last.length > 2 && drains.isEmpty()
+            && Arrays.equals(bytes, Math.min(2, bytes.length), bytes.length, last, 2, last.length);
     }
 
     private void read(Message answer, byte[] bytes) {
--- a/src/main/java/grebewick/sip/CallerLines.java
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -70,7 +70,7 @@
         CallerLine best = null;
         for (CallerLine line : all) {
             if (line != but && line.spoke && !line.closed && (best == null || line.rank() > best.rank()
-                    || line.rank() == best.rank() && line.heardUs >= best.heardUs)) {
+                || line.rank() == best.rank() && line.heardUs >= best.heardUs)) {
                 best = line;
             }
         }
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -179,7 +179,7 @@
                 spoke(on);
                 on.write(testsPass ? m.response(200, "OK") : m.response(503, "Service Unavailable"));
             }
-            case "ACK", "NOTIFY" -> { }
+            case "ACK", "NOTIFY" -> {}
             default -> useless(on, m, 501, "Not Implemented");
         }
     }
--- a/src/main/java/grebewick/sip/SipMessage.java
+++ b/src/main/java/grebewick/sip/SipMessage.java
@@ -9,7 +9,7 @@
     private static final List<String> COPIED = List.of("Via", "From", "To", "Call-ID", "CSeq");
 
     /** One header line; names compare without regard to case. */
-    public record Header(String name, String value) { }
+    public record Header(String name, String value) {}
 
     public boolean isRequest() {
         return status == 0;
--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -366,7 +366,7 @@
                 // It got stuck just after.
                 dropOrphan(link);
             } else if (link.legs.isEmpty()
-                    && (link.retired || usable() > quota.spare(SPARE) && nowUs - link.usedUs >= UNUSED_US)) {
+                && (link.retired || usable() > quota.spare(SPARE) && nowUs - link.usedUs >= UNUSED_US)) {
                 finish(link);
             }
         }
--- a/src/main/java/grebewick/trunk/Reports.java
+++ b/src/main/java/grebewick/trunk/Reports.java
@@ -8,8 +8,7 @@
 /** Reads load reports such as {@code x0:12;x1:40;qps:3} into the order of the settings' fields. */
 final class Reports {
     /** Names that a socket may use beside those of the settings. */
-    private static final Map<String, String> ALIAS =
-        Map.of("x0", "free", "x1", "size", "qps", "can_take", "eps", "hold_back");
+    private static final Map<String, String> ALIAS = Map.of("x0", "free", "x1", "size", "qps", "can_take", "eps", "hold_back");
 
     private final List<String> fields;
 
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -55,7 +55,7 @@
             return size() > MOST_OWN;
         }
     };
-    private BiConsumer<Long, Ending> strays = (id, ending) -> { };
+    private BiConsumer<Long, Ending> strays = (id, ending) -> {};
     private Gatekeeper<byte[]> core;
     private long nextProbe = 1;
     private long taken;
@@ -319,7 +319,7 @@
                         clock.nowUs() - probe.sentUs, reports.read(m.report()));
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -421,5 +421,5 @@
         }
     }
 
-    private record Probe(String server, long sentUs, Runnable cancel) { }
+    private record Probe(String server, long sentUs, Runnable cancel) {}
 }
--- a/src/main/java/grebewick/trunk/TrunkCodec.java
+++ b/src/main/java/grebewick/trunk/TrunkCodec.java
@@ -70,7 +70,7 @@
         long waitMs = -1;
         int cause = -1;
         byte[] description = {};
-        for (int at = from + HEAD; at < end; ) {
+        for (int at = from + HEAD; at < end;) {
             if (end - at < 3 || end - at - 3 < b.getUnsignedShort(at + 1)) {
                 throw new IllegalArgumentException("a parameter that runs past its message");
             }
@@ -90,7 +90,7 @@
                     cause = b.getUnsignedByte(start);
                 }
                 case DESCRIPTION -> description = b.getBytes(start, at);
-                default -> { }
+                default -> {}
             }
         }
         if (type == TrunkMessage.ANSWER && description.length == 0 || type == TrunkMessage.RELEASE && cause < 0) {
--- a/src/main/java/grebewick/trunk/TrunkMessage.java
+++ b/src/main/java/grebewick/trunk/TrunkMessage.java
@@ -2,7 +2,7 @@
 
 /** One message of the recipe servers' binary protocol; text that is absent is empty. */
 public record TrunkMessage(int type, long call, String tier, String number, long waitMs, String note, String report,
-                    int cause, byte[] description) {
+                           int cause, byte[] description) {
     public static final int SET_UP = 1;
     public static final int PROGRESS = 6;
     public static final int ANSWER = 9;
--- a/src/main/java/grebewick/web/AdmissionHandler.java
+++ b/src/main/java/grebewick/web/AdmissionHandler.java
@@ -40,7 +40,7 @@
     private AdmissionHandler(AdmissionOptions options, long seed, Clock clock, Timers timers) {
         this.options = options;
         core = new Gatekeeper<>(options.settings(), new Logic(options.settings(), seed), clock, timers, this,
-            (peer, bytes) -> { }, line -> { });
+            (peer, bytes) -> {}, line -> {});
         core.fleet(new Fleet(Scope.PERSISTED, 0, List.of(new ServerEntry(ROUTE, 0, Stage.HEALTHY, 0, "", "", 1))), Map.of());
     }
 
@@ -116,10 +116,10 @@
     }
 
     @Override
-    public void probe(String server) { }
+    public void probe(String server) {}
 
     @Override
-    public void closeIdle(String server) { }
+    public void closeIdle(String server) {}
 
     private static final class Waiting implements Callers<RoutingContext> {
         final RoutingContext context;
@@ -130,7 +130,7 @@
         }
 
         @Override
-        public void stands(long number, RoutingContext done) { }
+        public void stands(long number, RoutingContext done) {}
 
         @Override
         public void refused(long number, long comeBackUs) {
@@ -150,6 +150,6 @@
         }
 
         @Override
-        public void released(long number, Ending ending) { }
+        public void released(long number, Ending ending) {}
     }
 }
--- a/src/test/java/grebewick/BoundedAcceptTest.java
+++ b/src/test/java/grebewick/BoundedAcceptTest.java
@@ -15,7 +15,8 @@
     /** Guards the descriptors: no more connections are accepted than may be open, and the others wait. */
     @Test
     void connectionsPastTheBoundWaitUntilOneIsClosed() throws Exception {
-        Vertx vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1)).withTransport(new BoundedAccept(3, new Rounds())).build();
+        Vertx vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1))
+            .withTransport(new BoundedAccept(3, new Rounds())).build();
         BlockingQueue<NetSocket> accepted = new LinkedBlockingQueue<>();
         int port = vertx.createNetServer().connectHandler(accepted::add).listen(0, "127.0.0.1")
             .await(20, TimeUnit.SECONDS).actualPort();
--- a/src/test/java/grebewick/CrossingsTest.java
+++ b/src/test/java/grebewick/CrossingsTest.java
@@ -89,7 +89,8 @@
     @Test
     void aSetUpAndBadInputInOneReadIsRefusedAndNotSentOn() {
         String invite = new SipDialect().encode("INVITE 01").toString().replace("\r\n", "|");
-        s.play("loop is late\n c > raw " + invite + "what is this|||\n c < 503 INVITE 01 retry=2\n c sees the end\n loop is caught-up\n"
+        s.play("loop is late\n c > raw " + invite
+            + "what is this|||\n c < 503 INVITE 01 retry=2\n c sees the end\n loop is caught-up\n"
             + "d has no more\n wait 5000\n s1 has no more\n s2 has no more");
     }
 
@@ -151,14 +152,16 @@
             node.refuseCalls();
             return null;
         });
-        s.play("loop is caught-up\n s1 < set-up 01*\n s1 > answer 01 desc\n c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01");
+        s.play(
+            "loop is caught-up\n s1 < set-up 01*\n s1 > answer 01 desc\n c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01");
     }
 
     /** Guards calls against a server that dies between its choice and the write, once that is read: nothing has left, another has it. */
     @Test
     void aServerThatDiesBetweenTheChoiceAndTheWriteCostsNoCall() {
-        s.play("loop is late\n c > INVITE 01\n c has no more\n s1 stops\n d has no more\n loop is caught-up\n s2 < set-up 01*\n s2 > answer 01 desc\n"
-            + "c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01\n s2 < release 01 16");
+        s.play(
+            "loop is late\n c > INVITE 01\n c has no more\n s1 stops\n d has no more\n loop is caught-up\n s2 < set-up 01*\n s2 > answer 01 desc\n"
+                + "c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01\n s2 < release 01 16");
     }
 
     // ---- servers' connections: e calls, s3 is a server whose two connections the test holds itself
@@ -219,7 +222,8 @@
             there.setSoLinger(true, 0);
             says(there, "release 01 34");
             there.close();
-            s.play("s1 < set-up 01*\n s1 has no more\n s1 > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01");
+            s.play(
+                "s1 < set-up 01*\n s1 has no more\n s1 > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01");
         }, endpoint("s1", ports1, 1));
     }
 
@@ -249,10 +253,12 @@
     /** A server that goes, and another that comes at its address within one list: its calls are cut, new ones go there. */
     @Test
     void anAddressThatIsAnothersWithinOneListTakesNoCallsAlong() {
-        s.play("c > INVITE 01\n s1 < set-up 01*\n s1 > answer 01 desc\n c < 200 INVITE 01 desc\n c > INVITE 02\n s1 < set-up 02*");
+        s.play(
+            "c > INVITE 01\n s1 < set-up 01*\n s1 > answer 01 desc\n c < 200 INVITE 01 desc\n c > INVITE 02\n s1 < set-up 02*");
         tell(endpoint("s3", ports1, 0));
-        s.play("s1 < release 01 16\n c < BYE 01 41\n c > 200 BYE 01\n s1 reached 4\n s1 > answer 02 desc\n c < 200 INVITE 02 desc\n c > INVITE 03\n s1 < set-up 03*\n"
-            + "s1 > answer 03 desc\n c < 200 INVITE 03 desc");
+        s.play(
+            "s1 < release 01 16\n c < BYE 01 41\n c > 200 BYE 01\n s1 reached 4\n s1 > answer 02 desc\n c < 200 INVITE 02 desc\n c > INVITE 03\n s1 < set-up 03*\n"
+                + "s1 > answer 03 desc\n c < 200 INVITE 03 desc");
         s.play("c > BYE 03\n c < 200 BYE 03\n s1 < release 03 16\n c > BYE 02\n c < 200 BYE 02\n s1 < release 02 16");
     }
 }
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -32,8 +32,8 @@
 @Timeout(100)
 class LeftCallersTest {
     private static final String CANCELS = "c > CANCEL 01\n c < 200 CANCEL 01\n c < 487 INVITE 01";
-    private static final Settings PATIENT =
-        Sites.settings(Sites.SETTINGS.replace("\"ConnectTimeout\":500000", "\"ConnectTimeout\":60000000"));
+    private static final Settings PATIENT = Sites
+        .settings(Sites.SETTINGS.replace("\"ConnectTimeout\":500000", "\"ConnectTimeout\":60000000"));
     private final Scenario s = new Scenario();
     private final List<String> log = new ArrayList<>();
     private Node node;
@@ -82,7 +82,8 @@
     @ParameterizedTest
     @ValueSource(strings = {CANCELS, "c closes"})
     void whileItWaitedOutTheReleaseTime(String leaves) {
-        s.play("c > INVITE 01\n s1 < set-up 01*\n s1 > release 01 41\n s1 < released 01\n wait 400\n" + leaves + "\n d has no more");
+        s.play(
+            "c > INVITE 01\n s1 < set-up 01*\n s1 > release 01 41\n s1 < released 01\n wait 400\n" + leaves + "\n d has no more");
         isNotSentOn();
     }
 
@@ -108,10 +109,11 @@
     void whileItWaitedForAConnection(String leaves) throws IOException {
         InetAddress here = InetAddress.getByName("127.0.0.1");
         try (ServerSocket mute = new ServerSocket(0, 1, here); Socket first = new Socket(here, mute.getLocalPort());
-                Socket second = new Socket(here, mute.getLocalPort())) {
+            Socket second = new Socket(here, mute.getLocalPort())) {
             mute.setSoTimeout(20_000);
             Node waits = s.on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null,
-                null, 0, List.of(endpoint("s3", mute.getLocalPort(), Stage.HEALTHY, 0)), 12, PATIENT), s.clock, s.clock, log::add));
+                null, 0, List.of(endpoint("s3", mute.getLocalPort(), Stage.HEALTHY, 0)), 12, PATIENT), s.clock, s.clock,
+                log::add));
             s.client("e", new SipDialect(), s.await(waits::start));
             s.play("e > INVITE 01\n e has no more\n" + leaves);
             s.until(() -> waits.calls() == 0);
@@ -194,8 +196,8 @@
         server.setSoTimeout(20_000);
         Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, s.clock, s.clock, log::add));
         s.on(() -> {
-            trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> { }, s.clock, s.clock, trunk,
-                (peer, bytes) -> { }, log::add));
+            trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> {}, s.clock, s.clock, trunk,
+                (peer, bytes) -> {}, log::add));
             return trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)));
         });
         return trunk;
--- a/src/test/java/grebewick/LoopTest.java
+++ b/src/test/java/grebewick/LoopTest.java
@@ -22,7 +22,7 @@
     void aLoopThatStoodStillIsToldOnceAPeriodWithWhatItDid() {
         new LoopWatch(() -> nowUs, (us, run) -> {
             task = run;
-            return () -> { };
+            return () -> {};
         }, () -> new Work(callers, 2 * callers, 0), log::add).start();
         for (int i = 0; i < 200; i++) {
             look(LoopWatch.LOOK_US + 1_000);
@@ -47,7 +47,7 @@
                 nowUs += us + 5_000;
                 run.run();
             };
-            return () -> { };
+            return () -> {};
         }, 3_000_000, () -> new Debts(0, done.isEmpty() ? 1 : 0, 0, 0), () -> new Work(++callers, 0, 0), log::add,
             () -> done.add("answered at " + nowUs / 50_000), () -> done.add("gone at " + nowUs / 50_000)).start();
         while (done.size() < 2) {
@@ -65,7 +65,7 @@
                 nowUs += us;
                 run.run();
             };
-            return () -> { };
+            return () -> {};
         }, 3_000_000, () -> new Debts(0, 0, 0, bytes[0]), () -> Work.NONE, log::add, () -> log.add("answers"),
             () -> log.add("gone")).start();
         for (int i = 0; i < 100; i++) {
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -187,7 +187,7 @@
         InetAddress here = InetAddress.getByName("127.0.0.1");
         // Nobody accepts there: once its backlog is full, a connection neither comes up nor fails.
         try (ServerSocket mute = new ServerSocket(0, 1, here); Socket first = new Socket(here, mute.getLocalPort());
-                Socket second = new Socket(here, mute.getLocalPort())) {
+            Socket second = new Socket(here, mute.getLocalPort())) {
             Endpoint three = endpoint("s3", mute.getLocalPort(), Stage.HEALTHY, 0);
             Settings patient = Sites.settings(Sites.SETTINGS.replace("\"ConnectTimeout\":500000", "\"ConnectTimeout\":60000000"));
             Node waits = s.on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null,
@@ -198,7 +198,8 @@
                 waits.tell(Scope.COMPLETE, List.of(endpoint("s3", mute.getLocalPort(), Stage.CORDONED, 0), two));
                 return null;
             });
-            s.play("s2 < set-up 01*\n s2 > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01\n s2 < release 01 16");
+            s.play(
+                "s2 < set-up 01*\n s2 > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01\n s2 < release 01 16");
         }
     }
 
@@ -208,8 +209,8 @@
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 2, s.clock, s.clock, log::add));
             s.on(() -> {
-                trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> { }, s.clock, s.clock, trunk,
-                    (peer, bytes) -> { }, log::add));
+                trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> {}, s.clock, s.clock, trunk,
+                    (peer, bytes) -> {}, log::add));
                 return trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)));
             });
             try (Socket first = server.accept()) {
@@ -233,12 +234,14 @@
     /** Guards the descriptors: 36 servers are used and not more. */
     @Test
     void ofAThousandServersAsManyAreUsedAsTheDescriptorsBear() {
-        Node wide = s.on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
-            List.of(), 256, Sites.settings()), s.clock, s.clock, log::add));
+        Node wide = s
+            .on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
+                List.of(), 256, Sites.settings()), s.clock, s.clock, log::add));
         s.client("e", new SipDialect(), s.await(wide::start));
         int at = s.server("many", new TrunkDialect());
         s.on(() -> {
-            wide.tell(Scope.COMPLETE, IntStream.range(0, 1024).mapToObj(i -> endpoint("m" + i, at, Stage.HEALTHY, i % 2)).toList());
+            wide.tell(Scope.COMPLETE,
+                IntStream.range(0, 1024).mapToObj(i -> endpoint("m" + i, at, Stage.HEALTHY, i % 2)).toList());
             return null;
         });
         s.play("many reached 36");
--- a/src/test/java/grebewick/ProcessTest.java
+++ b/src/test/java/grebewick/ProcessTest.java
@@ -40,8 +40,10 @@
             {"name":"n0","listen":"127.0.0.1:0","seed":"1","names":"127.0.0.1:1","settings":%s,
              "known":{"index":1,"updates":[{"index":1,"snapshot":true,"endpoints":[{"name":"s1","address":"127.0.0.1:%d",
               "zone":"z0","type":"m","group":0,"status":"up","weight":1,"since_ms":0}]}]}}""".formatted(Sites.SETTINGS, port));
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "grebewick.Main", "serve").redirectErrorStream(true);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "grebewick.Main", "serve")
+            .redirectErrorStream(true);
         builder.environment().put("RELAY_CONFIG", config.toString());
         process = builder.start();
         log = process.inputReader();
--- a/src/test/java/grebewick/RestartTest.java
+++ b/src/test/java/grebewick/RestartTest.java
@@ -155,7 +155,8 @@
             c < BYE 02 16
             wait 2700
             n0 has ended""");
-        assertThat(log).contains("ends: its time is up; left behind: 1 calls standing, 0 unanswered, 0 ends untold, 0 bytes unwritten");
+        assertThat(log)
+            .contains("ends: its time is up; left behind: 1 calls standing, 0 unanswered, 0 ends untold, 0 bytes unwritten");
         s.play("s1 > release 01 16\n s1 < released 01\n c < BYE 01 16");
     }
 
--- a/src/test/java/grebewick/RoundsTest.java
+++ b/src/test/java/grebewick/RoundsTest.java
@@ -38,10 +38,11 @@
     @BeforeEach
     void start() throws Exception {
         NodeConfig config = new NodeConfig("n0", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
-            List.of(new Endpoint(Sites.entry("s1", 0, Stage.HEALTHY, 0), new Address("127.0.0.1", s.server("s1", new TrunkDialect())))),
+            List.of(new Endpoint(Sites.entry("s1", 0, Stage.HEALTHY, 0),
+                new Address("127.0.0.1", s.server("s1", new TrunkDialect())))),
             64, Sites.settings());
         CompletableFuture<Integer> ready = new CompletableFuture<>();
-        loop.runOnContext(v -> new Node(vertx, config, () -> System.nanoTime() / 1000, timers, line -> { }).start()
+        loop.runOnContext(v -> new Node(vertx, config, () -> System.nanoTime() / 1000, timers, line -> {}).start()
             .onSuccess(ready::complete));
         port = ready.get(20, TimeUnit.SECONDS);
         s.client("d", new SipDialect(), port);
--- a/src/test/java/grebewick/acme/CertificatesTest.java
+++ b/src/test/java/grebewick/acme/CertificatesTest.java
@@ -54,7 +54,7 @@
         current(Duration.ofDays(59));
         assertThat(authority.orders).isEqualTo(1);
         int port = s.await(() -> s.vertx.createNetServer(new NetServerOptions().setSsl(true).setKeyCertOptions(first))
-            .connectHandler(socket -> { }).listen(0, "127.0.0.1")).actualPort();
+            .connectHandler(socket -> {}).listen(0, "127.0.0.1")).actualPort();
         NetClient client = s.vertx.createNetClient(new NetClientOptions().setSsl(true).setTrustAll(true)
             .setHostnameVerificationAlgorithm(""));
         var socket = s.await(() -> client.connect(port, "127.0.0.1"));
--- a/src/test/java/grebewick/benchlink/WireTest.java
+++ b/src/test/java/grebewick/benchlink/WireTest.java
@@ -63,14 +63,15 @@
     @Test
     void eachEventIsRead() throws Exception {
         assertEquals(new Call(3189843710087620L, 8652250, false, false, true, 1200, false, 12000, "t", 256, "tel-k",
-            57, "c"), read("{\"Call\":{\"GatewayId\":\"gateway/3\",\"Call\":3189843710087620,\"DropDead\":8652250,"
-            + "\"Units\":1200,\"Estimate\":12000,\"Hop\":256,\"Item\":\"tel-k\",\"FarEnd\":57,\"Band\":\"c\","
-            + "\"IsRetry\":true,\"Billing\":\"t\",\"New\":1}}"));
+            57, "c"),
+            read("{\"Call\":{\"GatewayId\":\"gateway/3\",\"Call\":3189843710087620,\"DropDead\":8652250,"
+                + "\"Units\":1200,\"Estimate\":12000,\"Hop\":256,\"Item\":\"tel-k\",\"FarEnd\":57,\"Band\":\"c\","
+                + "\"IsRetry\":true,\"Billing\":\"t\",\"New\":1}}"));
         assertEquals(new Started(1, 2, "a:1", 9250), read("{\"Started\":{\"GatewayId\":\"gateway/3\",\"Call\":1,"
             + "\"Copy\":2,\"Switch\":\"a:1\",\"CostTime\":9250}}"));
         assertEquals(new Result(1, 0, State.QUEUE_FULL, true, "a:1", 5, 19, List.of(0.5, -1.0)),
             read("{\"Result\":{\"GatewayId\":\"gateway/3\",\"Call\":1,\"StateCode\":\"QueueFull\",\"Terminal\":true,"
-            + "\"Switch\":\"a:1\",\"CostTime\":5,\"Why\":19,\"Metrics\":[0.5,-1]}}"));
+                + "\"Switch\":\"a:1\",\"CostTime\":5,\"Why\":19,\"Metrics\":[0.5,-1]}}"));
         assertEquals(new Hangup(4), read("{\"Hangup\":{\"GatewayId\":\"gateway/3\",\"Call\":4}}"));
         assertEquals(new Due(77), read("{\"Due\":{\"GatewayId\":\"gateway/3\",\"Name\":77}}"));
         assertEquals(new Checked(State.OK, "a:1", 1400, List.of(0.4, 1.25)), read("{\"Checked\":{\"GatewayId\":"
--- a/src/test/java/grebewick/config/NodeConfigTest.java
+++ b/src/test/java/grebewick/config/NodeConfigTest.java
@@ -43,7 +43,8 @@
     void aThousandServersAndPeersAreRead() {
         String servers = IntStream.range(0, 1024).mapToObj(i -> ("{\"name\":\"s-%d\",\"address\":\"127.1.0.9:%d\",\"group\":%d,"
             + "\"status\":\"up\"}").formatted(i, 5070 + i, i)).collect(Collectors.joining(","));
-        String peers = IntStream.range(0, 1024).mapToObj(i -> "\"127.3.0.1:" + (7000 + i) + "\"").collect(Collectors.joining(","));
+        String peers = IntStream.range(0, 1024).mapToObj(i -> "\"127.3.0.1:" + (7000 + i) + "\"")
+            .collect(Collectors.joining(","));
         NodeConfig c = NodeConfig.parse(FILE.replace("\"127.3.0.1:7946\"", peers).replaceAll("(?s)\"known\":.*\"settings\":",
             "\"known\":{\"index\":1,\"updates\":[{\"snapshot\":true,\"endpoints\":[" + servers + "]}]},\"settings\":"), Map.of());
         assertThat(c.peers().get(1023)).isEqualTo(new Address("127.3.0.1", 8023));
--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -26,8 +26,8 @@
         seen.add(event);
         module = out;
     };
-    private final Gatekeeper<String> core =
-        new Gatekeeper<>(Sites.settings(), broken, clock, clock, this, (peer, bytes) -> { }, line -> { });
+    private final Gatekeeper<String> core = new Gatekeeper<>(Sites.settings(), broken, clock, clock, this, (peer, bytes) -> {},
+        line -> {});
 
     private long call() {
         core.fleet(new Fleet(Scope.PERSISTED, 1, List.of(Sites.entry("s1", 0, Stage.HEALTHY, 0),
@@ -87,7 +87,7 @@
             if (event instanceof Call call) {
                 out.accept(new Attempt(call.call(), "s1", 0));
             }
-        }, () -> clock.nowUs() + stoodStillUs.get(), clock, this, (peer, bytes) -> { }, line -> { });
+        }, () -> clock.nowUs() + stoodStillUs.get(), clock, this, (peer, bytes) -> {}, line -> {});
         late.fleet(new Fleet(Scope.PERSISTED, 1, List.of(Sites.entry("s1", 0, Stage.HEALTHY, 0))), Map.of());
         return late;
     }
@@ -122,7 +122,8 @@
     /** Guards calls that may not be repeated: a refusal says that trying again is harmless. */
     @Test
     void whoIsAnsweredAtTheEndIsRefusedOnlyIfNothingCanHaveRun() {
-        for (State state : new State[] {State.QUEUE_FULL, State.CONNECT_ERROR, State.IGNORED, State.FAILED, State.RESET_BY_PEER}) {
+        for (State state : new State[] {State.QUEUE_FULL, State.CONNECT_ERROR, State.IGNORED, State.FAILED,
+            State.RESET_BY_PEER}) {
             happened.clear();
             long c = call();
             acts(new Attempt(c, "s1", 0));
@@ -149,7 +150,7 @@
     void aBrokenModuleDoesNotTakeTheProcessDown() {
         Gatekeeper<String> other = new Gatekeeper<>(Sites.settings(), (now, event, out) -> {
             throw new IllegalStateException("broken");
-        }, clock, clock, this, (peer, bytes) -> { }, line -> { });
+        }, clock, clock, this, (peer, bytes) -> {}, line -> {});
         other.offer(new Offer<>(1, "a", "55", 1_000_000, false, false, 1, 0, -1, "offer"), this);
         clock.pass(1_000_000);
         assertThat(happened).containsExactly("failed");
@@ -203,10 +204,10 @@
     }
 
     @Override
-    public void probe(String server) { }
+    public void probe(String server) {}
 
     @Override
-    public void closeIdle(String server) { }
+    public void closeIdle(String server) {}
 
     /** Guards set-ups against a burst of ends: no turn ends more than a slice of them, and what is new comes between. */
     @Test
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -349,10 +349,11 @@
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             server.setSoTimeout(20_000);
             DiameterConfig config = new DiameterConfig(new Address("127.0.0.1", 0), "gk", "realm", Set.of(), "a", 9_000_000,
-                10_000_000, 0, 1_000_000, List.of(new DiameterConfig.Peer("p3", new Address("127.0.0.1", server.getLocalPort()), 0, "z")),
+                10_000_000, 0, 1_000_000,
+                List.of(new DiameterConfig.Peer("p3", new Address("127.0.0.1", server.getLocalPort()), 0, "z")),
                 Sites.settings(Sites.SETTINGS.replace("\"MaxOpen\":100", "\"MaxOpen\":100000")), null);
-            DiameterServers servers = s.on(() ->
-                new DiameterServers(s.vertx, config, new Identity("gk", "realm", 1), s.clock, s.clock, log::add));
+            DiameterServers servers = s
+                .on(() -> new DiameterServers(s.vertx, config, new Identity("gk", "realm", 1), s.clock, s.clock, log::add));
             List<CallControl.Result> results = new ArrayList<>();
             Gatekeeper<DiameterMessage> core = new Gatekeeper<>(config.settings(), (now, event, out) -> {
                 if (event instanceof CallControl.Call call) {
@@ -360,7 +361,7 @@
                 } else if (event instanceof CallControl.Result result) {
                     results.add(result);
                 }
-            }, s.clock, s.clock, servers, (to, bytes) -> { }, log::add);
+            }, s.clock, s.clock, servers, (to, bytes) -> {}, log::add);
             s.on(() -> {
                 servers.start(core);
                 return null;
@@ -369,7 +370,8 @@
                 p3.setSoTimeout(20_000);
                 List<String> heard = new ArrayList<>();
                 byte[] head = p3.getInputStream().readNBytes(4);
-                byte[] rest = p3.getInputStream().readNBytes(((head[1] & 0xff) << 16 | (head[2] & 0xff) << 8 | head[3] & 0xff) - 4);
+                byte[] rest = p3.getInputStream()
+                    .readNBytes(((head[1] & 0xff) << 16 | (head[2] & 0xff) << 8 | head[3] & 0xff) - 4);
                 peer.reader(heard::add).accept(Buffer.buffer(head).appendBytes(rest));
                 assertThat(heard).containsExactly("CER");
                 p3.getOutputStream().write(peer.encode("CEA").getBytes());
@@ -381,7 +383,8 @@
                     while (results.isEmpty()) {
                         core.offer(new Offer<>(++n, "a", "", 9_000_000, false, false, 1, 0, -1, aar(n)), new NoCaller());
                     }
-                    assertThat(results.get(0).state()).as("nothing more is put behind what is stuck").isEqualTo(CallControl.State.CONNECT_ERROR);
+                    assertThat(results.get(0).state()).as("nothing more is put behind what is stuck")
+                        .isEqualTo(CallControl.State.CONNECT_ERROR);
                     core.hangup(n - 1);
                     return n - 1;
                 });
@@ -399,20 +402,21 @@
 
     private static DiameterMessage aar(int n) {
         return new DiameterMessage(DiameterMessage.REQUEST, DiameterMessage.AA, DiameterMessage.NASREQ, 0, n,
-            List.of(Avp.text(Avp.SESSION_ID, "s" + (100_000 + n)), Avp.text(Avp.ORIGIN_HOST, "c"), Avp.text(Avp.USER_NAME, "x".repeat(15_000))));
+            List.of(Avp.text(Avp.SESSION_ID, "s" + (100_000 + n)), Avp.text(Avp.ORIGIN_HOST, "c"),
+                Avp.text(Avp.USER_NAME, "x".repeat(15_000))));
     }
 
     private static final class NoCaller implements Callers<DiameterMessage> {
         @Override
-        public void stands(long call, DiameterMessage answer) { }
+        public void stands(long call, DiameterMessage answer) {}
 
         @Override
-        public void refused(long call, long comeBackUs) { }
+        public void refused(long call, long comeBackUs) {}
 
         @Override
-        public void failed(long call) { }
+        public void failed(long call) {}
 
         @Override
-        public void released(long call, Ending ending) { }
+        public void released(long call, Ending ending) {}
     }
 }
--- a/src/test/java/grebewick/diameter/DiameterTlsTest.java
+++ b/src/test/java/grebewick/diameter/DiameterTlsTest.java
@@ -29,8 +29,8 @@
             String directory = s.await(() -> new StandInAuthority(s.vertx, now, challenges).listen());
             DiameterConfig config = new DiameterConfig(new Address("127.0.0.1", 0), "gk", "realm", Set.of(), "a", 9_000_000,
                 10_000_000, 0, 1_000_000, List.of(), Sites.settings(), new AcmeConfig(directory, "gk.example",
-                new Address("127.0.0.1", challenges), folder, true));
-            int port = s.await(() -> new DiameterNode(s.vertx, config, 1, s.clock, s.clock, line -> { }).start()).actualPort();
+                    new Address("127.0.0.1", challenges), folder, true));
+            int port = s.await(() -> new DiameterNode(s.vertx, config, 1, s.clock, s.clock, line -> {}).start()).actualPort();
             s.tlsClient("c", new DiameterDialect("c", 1), port);
             s.play("c > CER\n c < CEA 2001\n c has no more");
         }
--- a/src/test/java/grebewick/discovery/SubsetTest.java
+++ b/src/test/java/grebewick/discovery/SubsetTest.java
@@ -46,7 +46,8 @@
         List<Integer> all = list(1024).stream().map(e -> e.entry().placeNo()).toList();
         Set<Endpoint> used = new HashSet<>();
         for (int n = 0; n < 100; n++) {
-            List<Endpoint> chosen = new Subset(64, List.of(all, rare), "n" + n + "@10.0.0." + n + ":5070", log::add).of(list(1024));
+            List<Endpoint> chosen = new Subset(64, List.of(all, rare), "n" + n + "@10.0.0." + n + ":5070", log::add)
+                .of(list(1024));
             assertThat(chosen).hasSize(64);
             assertThat(chosen.stream().filter(e -> rare.contains(e.entry().placeNo()))).hasSize(3);
             used.addAll(chosen);
--- a/src/test/java/grebewick/names/FleetPollerTest.java
+++ b/src/test/java/grebewick/names/FleetPollerTest.java
@@ -113,7 +113,8 @@
             Name host = Name.fromString("s-1.east.hosts.");
             Name zone = Name.fromString("fleet.local.");
             Record found = switch (question.getQuestion().getType()) {
-                case Type.SRV -> new SRVRecord(Name.fromString("_work._tcp.fleet.local."), DClass.IN, 0, priority, 40, 5070, host);
+                case Type.SRV ->
+                    new SRVRecord(Name.fromString("_work._tcp.fleet.local."), DClass.IN, 0, priority, 40, 5070, host);
                 case Type.A -> new ARecord(host, DClass.IN, 0, InetAddress.getByName("127.1.0.9"));
                 default -> new TXTRecord(host, DClass.IN, 0, List.of("kind=std", "cell=2", "started=" + started));
             };
--- a/src/test/java/grebewick/play/HandClock.java
+++ b/src/test/java/grebewick/play/HandClock.java
@@ -8,10 +8,10 @@
 
 /** Time that passes only when a scenario says so. Used on the event loop alone. */
 public final class HandClock implements Clock, Timers {
-    private record Task(long atUs, long order, Runnable run) { }
+    private record Task(long atUs, long order, Runnable run) {}
 
-    private final PriorityQueue<Task> tasks =
-        new PriorityQueue<>(Comparator.comparingLong(Task::atUs).thenComparingLong(Task::order));
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>(
+        Comparator.comparingLong(Task::atUs).thenComparingLong(Task::order));
     private final ArrayDeque<Runnable> unread = new ArrayDeque<>();
     private boolean late;
     private long nowUs = 1_700_000_000_000_000L;
--- a/src/test/java/grebewick/play/Sites.java
+++ b/src/test/java/grebewick/play/Sites.java
@@ -17,7 +17,7 @@
          "Report":{"Fields":["free","size","can_take"],"How":"inline"},
          "Rules":{"Cold":10000000,"ColdFrom":0.3,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3.0}}""";
 
-    private Sites() { }
+    private Sites() {}
 
     public static Settings settings() {
         return settings(SETTINGS);
