--- a/Makefile
+++ b/Makefile
@@ -7,14 +7,14 @@
 	mvn -B -ntp -q -DskipTests package
 	-java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.jfr.enabled=false -Xlog:cds=off -Xlog:cds+dynamic=off -XX:ArchiveClassesAtExit=target/grebewick.jsa -jar target/grebewick.jar rehearse
 
-test:             ## all tests, no bench needed
+test:             ## all tests, layout and Checkstyle; no bench needed
 	mvn -B -ntp verify
 
 format:           ## lays the sources out as .formatter/eclipse.xml says
 	mvn -B -ntp -q formatter:format
 
-lint:             ## the compiler's own warnings, all of them errors
-	mvn -B -ntp -q clean compile -Dmaven.compiler.failOnWarning=true -Dmaven.compiler.showWarnings=true
+lint:             ## layout, Checkstyle and the compiler's own warnings, all of them errors
+	mvn -B -ntp -q clean formatter:validate checkstyle:check compile -Dmaven.compiler.failOnWarning=true -Dmaven.compiler.showWarnings=true
 
 rush: build       ## 20 s of calls at one gatekeeper as deploy/balancer.toml runs it, all of them cut at once in between
 	java -cp 'target/grebewick.jar:target/lib/*' grebewick.lab.Rush rate=100 hold=5000 cut=12 -- $(RUN)
--- a/src/main/java/grebewick/Rehearsal.java
+++ b/src/main/java/grebewick/Rehearsal.java
@@ -32,7 +32,8 @@
         {"listen":"127.0.0.1:%d","names":"127.0.0.1:%d","known":{"index":1,"updates":[{"snapshot":true,"endpoints":[
           {"name":"s-1","address":"127.0.0.1:%d","zone":"a","type":"a","group":0,"status":"up","weight":1,"since_ms":0}]}]},
          "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[0,1]],"Release":10000,"Resend":100000,"Shape":"pools"},
-          "Bounds":{"AttemptsCap":4,"Cancel":true,"ConnectTimeout":500000,"MaxOpen":100,"Probes":true,"RetryAfter":true},"ReplicasOfMe":1,
+          "Bounds":{"AttemptsCap":4,"Cancel":true,"ConnectTimeout":500000,"MaxOpen":100,"Probes":true,"RetryAfter":true},
+          "ReplicasOfMe":1,
           "Grades":[{"Name":"a","GoalTime":200000,"HardLimit":1000000,"Effect":"retryable","Worth":1.0}],
           "Report":{"Fields":["free","size","can_take","queue"],"How":"inline"},
           "Rules":{"Cold":1000000,"ColdFrom":0.5,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3}}}""";
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -517,6 +517,9 @@
         }
     }
 
-    /** {@code call} 0: the module's reminder; {@link #CUTS}: more calls to cut; else the end of attempt {@code name}, negative: of the call. */
+    /**
+     * {@code call} 0: the module's reminder; {@link #CUTS}: more calls to cut; else the end of attempt {@code name},
+     * negative: of the call.
+     */
     private record Wake(long atUs, long order, long call, long name) {}
 }
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -30,7 +30,10 @@
 final class DiameterServers implements Servers<DiameterMessage> {
     private static final int LOGOUT = 1;
     private static final int ADMINISTRATIVE = 4;
-    /** STRs wait for their peer for 10 min; without an answer on an open connection they are not repeated, but told lost with it. */
+    /**
+     * STRs wait for their peer for 10 min; without an answer on an open connection they are not repeated, but told lost
+     * with it.
+     */
     private static final long OWED_US = 600_000_000;
     private static final int MOST_OWED = 10_000;
     private static final long SWEEP_US = 1_000_000;
--- a/src/main/java/grebewick/lab/Rush.java
+++ b/src/main/java/grebewick/lab/Rush.java
@@ -27,10 +27,12 @@
  */
 public final class Rush {
     private static final String CONFIG = """
-        {"name":"n0","listen":"127.0.0.1:%d","names":"127.0.0.1:%d","known":{"index":1,"updates":[{"snapshot":true,"endpoints":[%s]}]},
+        {"name":"n0","listen":"127.0.0.1:%d","names":"127.0.0.1:%d",
+         "known":{"index":1,"updates":[{"snapshot":true,"endpoints":[%s]}]},
          "limits":{"sockets":%d},"peer_listen":"127.0.0.1:0","peers":[%s],
          "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[%s]],"Resend":400000,"Release":500000,"Shape":"pools"},
-          "Bounds":{"AttemptsCap":4,"ConnectTimeout":500000,"MaxOpen":20000,"Cancel":true,"Probes":true,"RetryAfter":true},"ReplicasOfMe":%d,
+          "Bounds":{"AttemptsCap":4,"ConnectTimeout":500000,"MaxOpen":20000,"Cancel":true,"Probes":true,"RetryAfter":true},
+          "ReplicasOfMe":%d,
           "Grades":[{"Name":"a","GoalTime":400000,"HardLimit":3000000,"Effect":"retryable","Worth":1.0,"LateValue":0.1}],
           "Report":{"Fields":["free","size","can_take","queue"],"How":"inline"},"Period":5000,
           "Rules":{"Cold":5000000,"ColdFrom":0.5,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3}}}""";
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -1,5 +1,6 @@
 package grebewick.sip;
 
+import grebewick.config.Address;
 import grebewick.core.CallControl.Settings;
 import grebewick.core.Callers;
 import grebewick.core.Clock;
@@ -7,7 +8,6 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Timers;
-import grebewick.config.Address;
 import grebewick.owed.Counts;
 import grebewick.owed.Policy;
 import grebewick.owed.Teller;
--- a/src/test/java/grebewick/CrossingsTest.java
+++ b/src/test/java/grebewick/CrossingsTest.java
@@ -156,12 +156,15 @@
             "loop is caught-up\n s1 < set-up 01*\n s1 > answer 01 desc\n c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01");
     }
 
-    /** Guards calls against a server that dies between its choice and the write, once that is read: nothing has left, another has it. */
+    /**
+     * Guards calls against a server that dies between its choice and the write, once that is read: nothing has left,
+     * another has it.
+     */
     @Test
     void aServerThatDiesBetweenTheChoiceAndTheWriteCostsNoCall() {
-        s.play(
-            "loop is late\n c > INVITE 01\n c has no more\n s1 stops\n d has no more\n loop is caught-up\n s2 < set-up 01*\n s2 > answer 01 desc\n"
-                + "c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01\n s2 < release 01 16");
+        s.play("loop is late\n c > INVITE 01\n c has no more\n s1 stops\n d has no more\n loop is caught-up\n"
+            + "s2 < set-up 01*\n s2 > answer 01 desc\n"
+            + "c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01\n s2 < release 01 16");
     }
 
     // ---- servers' connections: e calls, s3 is a server whose two connections the test holds itself
@@ -256,9 +259,9 @@
         s.play(
             "c > INVITE 01\n s1 < set-up 01*\n s1 > answer 01 desc\n c < 200 INVITE 01 desc\n c > INVITE 02\n s1 < set-up 02*");
         tell(endpoint("s3", ports1, 0));
-        s.play(
-            "s1 < release 01 16\n c < BYE 01 41\n c > 200 BYE 01\n s1 reached 4\n s1 > answer 02 desc\n c < 200 INVITE 02 desc\n c > INVITE 03\n s1 < set-up 03*\n"
-                + "s1 > answer 03 desc\n c < 200 INVITE 03 desc");
+        s.play("s1 < release 01 16\n c < BYE 01 41\n c > 200 BYE 01\n s1 reached 4\n"
+            + "s1 > answer 02 desc\n c < 200 INVITE 02 desc\n c > INVITE 03\n s1 < set-up 03*\n"
+            + "s1 > answer 03 desc\n c < 200 INVITE 03 desc");
         s.play("c > BYE 03\n c < 200 BYE 03\n s1 < release 03 16\n c > BYE 02\n c < 200 BYE 02\n s1 < release 02 16");
     }
 }
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -198,8 +198,8 @@
                 waits.tell(Scope.COMPLETE, List.of(endpoint("s3", mute.getLocalPort(), Stage.CORDONED, 0), two));
                 return null;
             });
-            s.play(
-                "s2 < set-up 01*\n s2 > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01\n s2 < release 01 16");
+            s.play("s2 < set-up 01*\n s2 > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01\n"
+                + "s2 < release 01 16");
         }
     }
 
--- a/src/test/java/grebewick/config/NodeConfigTest.java
+++ b/src/test/java/grebewick/config/NodeConfigTest.java
@@ -17,10 +17,13 @@
          "peers":["127.3.0.1:7946"],"peers_all":"127.3.255.1:7946","names":"127.2.0.1:1053",
          "known":{"index":41,"updates":[
           {"index":7,"endpoints":{"index":7,"snapshot":true,"endpoints":[
-           {"name":"s-1","address":"127.1.0.9:5070","zone":"east","type":"std","group":2,"status":"up","weight":4,"since_ms":5},
-           {"name":"s-2","address":"127.1.0.8:5070","zone":"east","type":"std","group":1,"status":"up","weight":4,"since_ms":0}]}},
+           {"name":"s-1","address":"127.1.0.9:5070","zone":"east","type":"std","group":2,
+            "status":"up","weight":4,"since_ms":5},
+           {"name":"s-2","address":"127.1.0.8:5070","zone":"east","type":"std","group":1,
+            "status":"up","weight":4,"since_ms":0}]}},
           {"index":41,"snapshot":false,"endpoints":[
-           {"name":"s-1","address":"127.1.0.9:5070","zone":"east","type":"std","group":2,"status":"draining","weight":4,"since_ms":5},
+           {"name":"s-1","address":"127.1.0.9:5070","zone":"east","type":"std","group":2,
+            "status":"draining","weight":4,"since_ms":5},
            {"name":"s-2","address":"127.1.0.8:5070","status":"removed"}]}]},
          "settings":""" + Sites.SETTINGS + "}";
 
--- a/src/test/java/grebewick/sip/SipCodecTest.java
+++ b/src/test/java/grebewick/sip/SipCodecTest.java
@@ -10,7 +10,8 @@
 import org.junit.jupiter.api.Test;
 
 class SipCodecTest {
-    private static final String INVITE = "INVITE sip:7f@net SIP/2.0\r\ncall-id: 01\r\nCSeq: 1 INVITE\r\nContent-Length: 4\r\n\r\na\r\nb";
+    private static final String INVITE = "INVITE sip:7f@net SIP/2.0\r\ncall-id: 01\r\nCSeq: 1 INVITE\r\n"
+        + "Content-Length: 4\r\n\r\na\r\nb";
     private static final String ANSWER = "SIP/2.0 200 OK\r\nCall-ID: 02\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n";
     private final List<SipMessage> got = new ArrayList<>();
 
