Rename the files beside Main to packages lifecycle and eventloop

Cause: house words, ten loose files. The training run is handed the daemon's start, so that lifecycle does not import the root package.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -8,6 +8,13 @@
 import grebewick.core.Timers;
 import grebewick.diameter.DiameterConfig;
 import grebewick.diameter.DiameterNode;
+import grebewick.eventloop.AfterReadQueue;
+import grebewick.eventloop.BoundedAcceptor;
+import grebewick.eventloop.LoopLagMonitor;
+import grebewick.lifecycle.ActivityCount;
+import grebewick.lifecycle.ConfigReload;
+import grebewick.lifecycle.GracefulShutdown;
+import grebewick.lifecycle.PendingWork;
 import grebewick.sip.SipFront;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -36,20 +43,20 @@
     private volatile boolean told;
 
     private Daemon(int mostAccepted) {
-        Rounds rounds = new Rounds();
+        AfterReadQueue afterRead = new AfterReadQueue();
         vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
             .setInternalBlockingPoolSize(1)
             // The file system is read-only.
             .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
-            .withTransport(new BoundedAccept(mostAccepted, rounds)).build();
+            .withTransport(new BoundedAcceptor(mostAccepted, afterRead)).build();
         // Monotonic, and the Unix time at the start: so the list's Unix times need no second conversion.
         long zeroUs = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
         clock = () -> zeroUs + System.nanoTime() / 1000;
-        timers = rounds.timers(vertx, vertx.getOrCreateContext());
+        timers = afterRead.timers(vertx, vertx.getOrCreateContext());
     }
 
     /** Either configuration may be null, not both. */
-    static void start(NodeConfig config, DiameterConfig diameter, Map<String, String> env, Reload reload) {
+    static void start(NodeConfig config, DiameterConfig diameter, Map<String, String> env, ConfigReload reload) {
         int sockets = config == null ? NodeConfig.SOCKETS : config.sockets();
         Daemon daemon = new Daemon(SipFront.mostLines(sockets) + UNSEEN);
         daemon.vertx.exceptionHandler(e -> log("uncaught: " + e));
@@ -73,7 +80,7 @@
         longestUs = Math.max(config == null ? 0 : longestUs(config.settings()), second == null ? 0 : second.requestUs());
         if (config != null) {
             node = new Node(vertx, config, clock, timers, Daemon::log);
-            new LoopWatch(clock, timers, this::work, Daemon::log).start();
+            new LoopLagMonitor(clock, timers, this::activity, Daemon::log).start();
             node.start().onSuccess(port -> log(config.name() + " serves at " + config.listen().host() + ":" + port))
                 .onFailure(e -> fail(config.listen(), e));
         }
@@ -121,7 +128,8 @@
                 if (node != null) {
                     node.refuseCalls();
                 }
-                new Leave(clock, timers, toldUs + STILL_COMING_US + Math.min(longestUs, LONGEST_US), this::debts, this::work,
+                new GracefulShutdown(clock, timers, toldUs + STILL_COMING_US + Math.min(longestUs, LONGEST_US), this::pendingWork,
+                    this::activity,
                     Daemon::log, this::answerAll, this::leave).start();
             });
         });
@@ -151,13 +159,13 @@
         ended.countDown();
     }
 
-    private Debts debts() {
-        return (node == null ? Debts.NONE : node.debts()).and(diameter == null ? Debts.NONE
-            : new Debts(0, diameter.unanswered(), diameter.owed(), 0));
+    private PendingWork pendingWork() {
+        return (node == null ? PendingWork.NONE : node.pendingWork()).and(diameter == null ? PendingWork.NONE
+            : new PendingWork(0, diameter.unanswered(), diameter.owed(), 0));
     }
 
-    private Work work() {
-        return node == null ? Work.NONE : node.work();
+    private ActivityCount activity() {
+        return node == null ? ActivityCount.NONE : node.activity();
     }
 
     private static long longestUs(Settings settings) {
--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -4,6 +4,9 @@
 import grebewick.config.BadConfig;
 import grebewick.config.NodeConfig;
 import grebewick.diameter.DiameterConfig;
+import grebewick.lifecycle.ClassArchiveTraining;
+import grebewick.lifecycle.ConfigReload;
+import grebewick.lifecycle.SignalHandler;
 import java.util.Map;
 
 /** The command line: {@code serve} runs a gatekeeper, {@code benchlink} the simulator's adapter, {@code rehearse} a few calls. */
@@ -16,8 +19,8 @@
         switch (command) {
             case "benchlink" -> System.exit(Adapter.run());
             case "serve" -> {
-                Reload reload = new Reload();
-                Signals.on("HUP", reload::asked);
+                ConfigReload reload = new ConfigReload();
+                SignalHandler.on("HUP", reload::asked);
                 try {
                     Map<String, String> env = System.getenv();
                     String diameter = env.get("RELAY_DIAMETER");
@@ -30,7 +33,8 @@
                 }
             }
             case "rehearse" -> {
-                System.err.println("rehearsed: " + Rehearsal.run());
+                System.err.println("rehearsed: " + ClassArchiveTraining.run(
+                    config -> Daemon.start(config, null, Map.of(), new ConfigReload())));
                 System.exit(0);
             }
             default -> {
--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -9,6 +9,8 @@
 import grebewick.core.Logic;
 import grebewick.core.Timers;
 import grebewick.discovery.Subset;
+import grebewick.lifecycle.ActivityCount;
+import grebewick.lifecycle.PendingWork;
 import grebewick.names.FleetPoller;
 import grebewick.peers.PeerLink;
 import grebewick.sip.SipFront;
@@ -118,13 +120,13 @@
     }
 
     /** What this gatekeeper would leave behind if it ended now. */
-    public Debts debts() {
-        return new Debts(core.calls() - core.unanswered(), core.unanswered(), front.owed().open() + trunk.owed(),
+    public PendingWork pendingWork() {
+        return new PendingWork(core.calls() - core.unanswered(), core.unanswered(), front.owed().open() + trunk.owed(),
             front.unwritten() + trunk.unwritten());
     }
 
     /** Messages from callers and from servers, and ends told, since the start: what the loop was busy with. */
-    public Work work() {
-        return new Work(front.taken(), trunk.taken(), front.owed().told());
+    public ActivityCount activity() {
+        return new ActivityCount(front.taken(), trunk.taken(), front.owed().told());
     }
 }
--- a/src/main/java/grebewick/Rounds.java
+++ b/src/main/java/grebewick/eventloop/AfterReadQueue.java
@@ -1,4 +1,4 @@
-package grebewick;
+package grebewick.eventloop;
 
 import grebewick.core.Timers;
 import io.vertx.core.Context;
@@ -10,7 +10,7 @@
  * and may first run timers that were due meanwhile: what these bring about waits for one whole round of reads, and for
  * the tasks that the round leaves, such as the ends of connections, which are all run before the next.
  */
-final class Rounds {
+public final class AfterReadQueue {
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     /** Their round has been read. */
     private final ArrayDeque<Runnable> ready = new ArrayDeque<>();
@@ -18,7 +18,7 @@
     private Context context;
 
     /** Timers of the one event loop that {@code context} is of; its handler has to {@link #end} each round. */
-    Timers timers(Vertx vertx, Context context) {
+    public Timers timers(Vertx vertx, Context context) {
         this.context = context;
         return new Timers() {
             @Override
--- a/src/main/java/grebewick/BoundedAccept.java
+++ b/src/main/java/grebewick/eventloop/BoundedAcceptor.java
@@ -1,4 +1,4 @@
-package grebewick;
+package grebewick.eventloop;
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFactory;
@@ -13,22 +13,22 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Vert.x's transport, which sleeps until a timer is due ({@link WholeMillis}), with a bound on the connections that its
+ * Vert.x's transport, which sleeps until a timer is due ({@link MillisecondTimers}), with a bound on the connections that its
  * servers have accepted and that are not closed yet.
  * Guards the descriptors: Vert.x accepts on a thread of its own, hundreds before the event loop has seen the first,
  * and a process without a descriptor left accepts nothing for a second. What is not accepted waits in the backlog.
  */
-final class BoundedAccept extends NioTransport implements Transport {
+public final class BoundedAcceptor extends NioTransport implements Transport {
     private static final long PAUSE_MS = 5;
 
     private final int most;
     private final AtomicInteger open = new AtomicInteger();
+    private final AfterReadQueue afterRead;
 
-    private final Rounds rounds;
-
-    BoundedAccept(int most, Rounds rounds) {
+    /** {@code most}: connections held at a time; {@code afterRead} runs after each round of reads. */
+    public BoundedAcceptor(int most, AfterReadQueue afterRead) {
         this.most = most;
-        this.rounds = rounds;
+        this.afterRead = afterRead;
     }
 
     @Override
@@ -53,7 +53,7 @@
 
     @Override
     public IoHandlerFactory ioHandlerFactory() {
-        return WholeMillis.over(super.ioHandlerFactory(), rounds);
+        return MillisecondTimers.over(super.ioHandlerFactory(), afterRead);
     }
 
     @Override
--- a/src/main/java/grebewick/LoopWatch.java
+++ b/src/main/java/grebewick/eventloop/LoopLagMonitor.java
@@ -1,7 +1,8 @@
-package grebewick;
+package grebewick.eventloop;
 
 import grebewick.core.Clock;
 import grebewick.core.Timers;
+import grebewick.lifecycle.ActivityCount;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -9,7 +10,7 @@
  * How long the event loop kept others waiting, and what it was busy with meanwhile. A look that comes late by more
  * than a bound is told, the longest of each period, so that a stalled gatekeeper writes a line and not a flood.
  */
-final class LoopWatch {
+public final class LoopLagMonitor {
     /** us. Between looks. */
     static final long LOOK_US = 50_000;
     /** us. Lateness from which on it is told. */
@@ -19,25 +20,27 @@
 
     private final Clock clock;
     private final Timers timers;
-    private final Supplier<Work> work;
+    private final Supplier<ActivityCount> activity;
     private final Consumer<String> log;
-    private Work before;
+    private ActivityCount before;
     private long dueUs;
     private long fromUs;
     private long longestUs;
     private long lateUs;
     private int late;
-    private Work longest = Work.NONE;
+    private ActivityCount longest = ActivityCount.NONE;
 
-    LoopWatch(Clock clock, Timers timers, Supplier<Work> work, Consumer<String> log) {
+    /** {@code activity}: what the loop has done so far; {@code log} takes the lines. */
+    public LoopLagMonitor(Clock clock, Timers timers, Supplier<ActivityCount> activity, Consumer<String> log) {
         this.clock = clock;
         this.timers = timers;
-        this.work = work;
+        this.activity = activity;
         this.log = log;
     }
 
-    void start() {
-        before = work.get();
+    /** Looks for the first time after {@link #LOOK_US}. */
+    public void start() {
+        before = activity.get();
         fromUs = clock.nowUs();
         next(fromUs);
     }
@@ -49,7 +52,7 @@
 
     private void look() {
         long nowUs = clock.nowUs();
-        Work now = work.get();
+        ActivityCount now = activity.get();
         long us = nowUs - dueUs;
         if (us >= TELL_US) {
             late++;
--- a/src/main/java/grebewick/WholeMillis.java
+++ b/src/main/java/grebewick/eventloop/MillisecondTimers.java
@@ -1,4 +1,4 @@
-package grebewick;
+package grebewick.eventloop;
 
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
@@ -13,23 +13,23 @@
  * cost a third of the loop's time at 400 calls. Rounded up, a timer comes up to 1 ms late instead,
  * as a select that waits may anyway.
  */
-final class WholeMillis implements IoHandler {
+final class MillisecondTimers implements IoHandler {
     private static final long MS = 1_000_000;
 
     private final IoHandler nio;
-    private final Rounds rounds;
+    private final AfterReadQueue afterRead;
 
-    private WholeMillis(IoHandler nio, Rounds rounds) {
+    private MillisecondTimers(IoHandler nio, AfterReadQueue afterRead) {
         this.nio = nio;
-        this.rounds = rounds;
+        this.afterRead = afterRead;
     }
 
     /** Handlers that sleep so, over those of another factory, and say when a round of reads has ended. */
-    static IoHandlerFactory over(IoHandlerFactory factory, Rounds rounds) {
+    static IoHandlerFactory over(IoHandlerFactory factory, AfterReadQueue afterRead) {
         return new IoHandlerFactory() {
             @Override
             public IoHandler newHandler(ThreadAwareExecutor loop) {
-                return new WholeMillis(factory.newHandler(loop), rounds);
+                return new MillisecondTimers(factory.newHandler(loop), afterRead);
             }
 
             @Override
@@ -49,7 +49,7 @@
         int handled = nio.run(new IoHandlerContext() {
             @Override
             public boolean canBlock() {
-                return !rounds.waits() && loop.canBlock();
+                return !afterRead.waits() && loop.canBlock();
             }
 
             @Override
@@ -72,7 +72,7 @@
                 return loop.shouldReportActiveIoTime();
             }
         });
-        rounds.end();
+        afterRead.end();
         return handled;
     }
 
--- a/src/main/java/grebewick/Rehearsal.java
+++ b/src/main/java/grebewick/lifecycle/ClassArchiveTraining.java
@@ -1,4 +1,4 @@
-package grebewick;
+package grebewick.lifecycle;
 
 import grebewick.config.NodeConfig;
 import grebewick.lab.StandInCallers;
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * A gatekeeper that serves a few calls between stand-ins of its own on loopback, and ends. Run once after the build
@@ -24,7 +25,7 @@
  * play is loaded from the jar when it first happens, and costs the loop up to 50 ms then: so each way in which a
  * call can end is played.
  */
-final class Rehearsal {
+public final class ClassArchiveTraining {
     private static final int PATIENCE_S = 10;
     private static final int CALLS = 12;
     private static final long DEADLINE_MS = 400;
@@ -40,13 +41,16 @@
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final CountDownLatch done = new CountDownLatch(1);
+    private final Consumer<NodeConfig> daemon;
     private int calls;
 
-    private Rehearsal() {}
+    private ClassArchiveTraining(Consumer<NodeConfig> daemon) {
+        this.daemon = daemon;
+    }
 
-    /** Plays it; gives the outcomes of the calls by name. */
-    static String run() throws Exception {
-        return new Rehearsal().play();
+    /** Plays it with the gatekeeper that {@code daemon} starts; gives the outcomes of the calls by name. */
+    public static String run(Consumer<NodeConfig> daemon) throws Exception {
+        return new ClassArchiveTraining(daemon).play();
     }
 
     private String play() throws Exception {
@@ -57,7 +61,7 @@
         int serverPort = await(() -> server.listen(0));
         int otherPort = await(() -> other.listen(0));
         int namesPort = await(names::listen);
-        Daemon.start(NodeConfig.parse(CONFIG.formatted(port, namesPort, serverPort), Map.of()), null, Map.of(), new Reload());
+        daemon.accept(NodeConfig.parse(CONFIG.formatted(port, namesPort, serverPort), Map.of()));
         names.list(List.of(new StandInNames.Host("s-1", "a", serverPort, 0, false, 0),
             new StandInNames.Host("s-2", "a", otherPort, 1, false, 0)));
         StandInCallers callers = new StandInCallers(vertx, "a", DEADLINE_MS);
--- a/src/main/java/grebewick/Leave.java
+++ b/src/main/java/grebewick/lifecycle/GracefulShutdown.java
@@ -1,4 +1,4 @@
-package grebewick;
+package grebewick.lifecycle;
 
 import grebewick.core.Clock;
 import grebewick.core.Timers;
@@ -9,7 +9,7 @@
  * When a process that was told to end may go: once nothing is owed and nothing has come in for two looks, or when its
  * time is up. Decides only; what is owed is handed in.
  */
-final class Leave {
+public final class GracefulShutdown {
     /** us. Between looks: long enough for the loop to have read what is there. */
     static final long LOOK_US = 20_000;
     /** us. Before its time is up, when whoever still waits is answered: in time for the answers to be written. */
@@ -20,45 +20,47 @@
     private final Clock clock;
     private final Timers timers;
     private final long endUs;
-    private final Supplier<Debts> debts;
-    private final Supplier<Work> work;
+    private final Supplier<PendingWork> pendingWork;
+    private final Supplier<ActivityCount> activity;
     private final Consumer<String> log;
     private final Runnable answer;
     private final Runnable go;
     private boolean answered;
     private int quiet;
-    private Work before;
+    private ActivityCount before;
 
     /**
      * {@code endUs}: when it has to be gone; {@code answer} answers all that wait, {@code go} is run once, at its end. By
      * the clock: looks come late, each by up to a millisecond and more under load, and add up to more than is kept back.
      */
-    Leave(Clock clock, Timers timers, long endUs, Supplier<Debts> debts, Supplier<Work> work, Consumer<String> log,
-          Runnable answer, Runnable go) {
+    public GracefulShutdown(Clock clock, Timers timers, long endUs, Supplier<PendingWork> pendingWork,
+                            Supplier<ActivityCount> activity, Consumer<String> log,
+                            Runnable answer, Runnable go) {
         this.clock = clock;
         this.timers = timers;
         this.endUs = endUs;
-        this.debts = debts;
-        this.work = work;
+        this.pendingWork = pendingWork;
+        this.activity = activity;
         this.log = log;
         this.answer = answer;
         this.go = go;
     }
 
-    void start() {
-        before = work.get();
+    /** Looks for the first time after {@link #LOOK_US}. */
+    public void start() {
+        before = activity.get();
         timers.after(LOOK_US, this::look);
     }
 
     private void look() {
         long leftUs = endUs - clock.nowUs();
-        if (leftUs <= ANSWER_US && !answered && debts.get().unanswered() > 0) {
+        if (leftUs <= ANSWER_US && !answered && pendingWork.get().unanswered() > 0) {
             // Guards requests with a deadline longer than the time given: none is lost with the process.
             answered = true;
             answer.run();
         }
-        Work now = work.get();
-        Debts owed = debts.get();
+        ActivityCount now = activity.get();
+        PendingWork owed = pendingWork.get();
         quiet = owed.none() && now.equals(before) ? quiet + 1 : 0;
         before = now;
         if (quiet >= QUIET) {
--- a/src/main/java/grebewick/Debts.java
+++ b/src/main/java/grebewick/lifecycle/PendingWork.java
@@ -1,4 +1,4 @@
-package grebewick;
+package grebewick.lifecycle;
 
 /**
  * What a process owes to others before it may end.
@@ -8,15 +8,18 @@
  * @param ends       ends of calls that are to be told, or told again
  * @param bytes      written, and not yet taken by the network
  */
-record Debts(int standing, int unanswered, int ends, long bytes) {
-    static final Debts NONE = new Debts(0, 0, 0, 0);
+public record PendingWork(int standing, int unanswered, int ends, long bytes) {
+    /** Nothing is owed. */
+    public static final PendingWork NONE = new PendingWork(0, 0, 0, 0);
 
-    boolean none() {
+    /** Whether nothing is owed. */
+    public boolean none() {
         return standing == 0 && unanswered == 0 && ends == 0 && bytes == 0;
     }
 
-    Debts and(Debts other) {
-        return new Debts(standing + other.standing, unanswered + other.unanswered, ends + other.ends, bytes + other.bytes);
+    /** The sum of both. */
+    public PendingWork and(PendingWork other) {
+        return new PendingWork(standing + other.standing, unanswered + other.unanswered, ends + other.ends, bytes + other.bytes);
     }
 
     @Override
--- a/src/test/java/grebewick/CrossingsTest.java
+++ b/src/test/java/grebewick/CrossingsTest.java
@@ -133,11 +133,11 @@
             .repeat(200).getBytes();
         try (Socket mute = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
             OutputStream out = mute.getOutputStream();
-            while (s.on(() -> node.debts().bytes()) == 0) {
+            while (s.on(() -> node.pendingWork().bytes()) == 0) {
                 out.write(tests);
             }
             // Idle for 6 s, then closed; what has not left 2 s later is dropped.
-            s.play("wait 9000").until(() -> node.debts().bytes() == 0);
+            s.play("wait 9000").until(() -> node.pendingWork().bytes() == 0);
         } catch (SocketException e) {
             // Ended already, as too much was unread.
         }
--- a/src/test/java/grebewick/RestartTest.java
+++ b/src/test/java/grebewick/RestartTest.java
@@ -7,6 +7,8 @@
 import grebewick.config.NodeConfig;
 import grebewick.core.CallControl.Stage;
 import grebewick.core.Timers;
+import grebewick.lifecycle.GracefulShutdown;
+import grebewick.lifecycle.PendingWork;
 import grebewick.play.Scenario;
 import grebewick.play.Sites;
 import grebewick.sip.SipDialect;
@@ -84,7 +86,8 @@
             long endUs = s.clock.nowUs() + 3_700_000;
             s.clock.after(700_000, () -> {
                 one.refuseCalls();
-                new Leave(s.clock, s.clock, endUs, one::debts, one::work, log::add, one::answerAll, () -> ended = true).start();
+                new GracefulShutdown(s.clock, s.clock, endUs, one::pendingWork, one::activity, log::add, one::answerAll,
+                    () -> ended = true).start();
             });
             return null;
         });
@@ -105,7 +108,7 @@
             s1 stops
             d > INVITE fff1
             s2 < set-up fff1*""");
-        assertThat(s.on(() -> node.debts().standing())).as("not all are ended by then").isPositive();
+        assertThat(s.on(() -> node.pendingWork().standing())).as("not all are ended by then").isPositive();
         s.play("""
             s2 > answer fff1 desc
             d < 200 INVITE fff1 desc
@@ -114,7 +117,7 @@
             s.play("c < BYE %1$02x 41\n c > 200 BYE %1$02x".formatted(i));
         }
         s.play("c has no more\n wait 400\n c has no more\n d > BYE fff1\n d < 200 BYE fff1\n s2 < release fff1 16");
-        assertThat(s.on(() -> node.debts())).isEqualTo(Debts.NONE);
+        assertThat(s.on(() -> node.pendingWork())).isEqualTo(PendingWork.NONE);
     }
 
     @Test
--- a/src/test/java/grebewick/RoundsTest.java
+++ b/src/test/java/grebewick/eventloop/AfterReadQueueTest.java
@@ -1,5 +1,6 @@
-package grebewick;
+package grebewick.eventloop;
 
+import grebewick.Node;
 import grebewick.config.Address;
 import grebewick.config.Endpoint;
 import grebewick.config.NodeConfig;
@@ -25,13 +26,13 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A gatekeeper on the loop of the daemon, which is held still while callers and servers go on. */
-class RoundsTest {
+class AfterReadQueueTest {
     private final Scenario s = new Scenario();
-    private final Rounds rounds = new Rounds();
+    private final AfterReadQueue afterRead = new AfterReadQueue();
     private final Vertx vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1))
-        .withTransport(new BoundedAccept(100, rounds)).build();
+        .withTransport(new BoundedAcceptor(100, afterRead)).build();
     private final Context loop = vertx.getOrCreateContext();
-    private final Timers timers = rounds.timers(vertx, loop);
+    private final Timers timers = afterRead.timers(vertx, loop);
     private CountDownLatch still;
     private int port;
 
--- a/src/test/java/grebewick/BoundedAcceptTest.java
+++ b/src/test/java/grebewick/eventloop/BoundedAcceptorTest.java
@@ -1,4 +1,4 @@
-package grebewick;
+package grebewick.eventloop;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,12 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-class BoundedAcceptTest {
+class BoundedAcceptorTest {
     /** Guards the descriptors: no more connections are accepted than may be open, and the others wait. */
     @Test
     void connectionsPastTheBoundWaitUntilOneIsClosed() throws Exception {
         Vertx vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1))
-            .withTransport(new BoundedAccept(3, new Rounds())).build();
+            .withTransport(new BoundedAcceptor(3, new AfterReadQueue())).build();
         BlockingQueue<NetSocket> accepted = new LinkedBlockingQueue<>();
         int port = vertx.createNetServer().connectHandler(accepted::add).listen(0, "127.0.0.1")
             .await(20, TimeUnit.SECONDS).actualPort();
--- a/src/test/java/grebewick/RehearsalTest.java
+++ b/src/test/java/grebewick/lifecycle/ClassArchiveTrainingTest.java
@@ -1,10 +1,10 @@
-package grebewick;
+package grebewick.lifecycle;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
 
-class RehearsalTest {
+class ClassArchiveTrainingTest {
     /** Guards the archive of classes: where the rehearsal does not get as far as a call, starts are slow again. */
     @Test
     void theRehearsalServesACallAndItsEndsLeaveNothing() throws Exception {
--- a/src/test/java/grebewick/SignalsTest.java
+++ b/src/test/java/grebewick/lifecycle/SignalHandlerTest.java
@@ -1,4 +1,4 @@
-package grebewick;
+package grebewick.lifecycle;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -7,12 +7,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
-class SignalsTest {
+class SignalHandlerTest {
     /** Guards against a JVM that ends on SIGHUP, and against one that hears only the first. */
     @Test
     void everySignalIsHeardAndTheProcessGoesOn() throws Exception {
         Semaphore heard = new Semaphore(0);
-        assertThat(Signals.on("HUP", heard::release)).isTrue();
+        assertThat(SignalHandler.on("HUP", heard::release)).isTrue();
         for (int i = 0; i < 2; i++) {
             new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start().waitFor();
             assertThat(heard.tryAcquire(20, TimeUnit.SECONDS)).isTrue();
@@ -23,7 +23,7 @@
     @Test
     void whatIsAskedBeforeTheStartIsDoneAfterIt() {
         AtomicInteger done = new AtomicInteger();
-        Reload reload = new Reload();
+        ConfigReload reload = new ConfigReload();
         reload.asked();
         reload.asked();
         reload.ready(done::incrementAndGet);
