--- a/src/test/java/grebewick/core/Rig.java
+++ b/src/test/java/grebewick/core/Rig.java
@@ -13,10 +13,16 @@
     final List<Remind> reminders = new ArrayList<>();
     final Map<Long, Integer> copies = new HashMap<>();
     final CallControl module;
-    long nowUs = 1000 * SECOND;
+    long nowUs;
     private long nextCall = 1;
 
     Rig(Settings settings, long seed, ServerEntry... list) {
+        this(settings, seed, 1000 * SECOND, list);
+    }
+
+    /** One that starts at that moment. */
+    Rig(Settings settings, long seed, long startUs, ServerEntry... list) {
+        nowUs = startUs;
         module = new Logic(settings, seed);
         feed(new Fleet(Scope.PERSISTED, 1, List.of(list)));
     }
