--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Tasks for people; .ci/run calls `test`.
-.PHONY: build test lint rush run clean
+.PHONY: build test lint bench-load run clean
 
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"   \#.*/\1/p' deploy/balancer.toml)
 
@@ -13,8 +13,8 @@
 lint:             ## the compiler's own warnings, all of them errors
 	mvn -B -ntp -q clean compile -Dmaven.compiler.failOnWarning=true -Dmaven.compiler.showWarnings=true
 
-rush: build       ## 20 s of calls at one gatekeeper as deploy/balancer.toml runs it, all of them cut at once in between
-	java -cp 'target/grebewick.jar:target/lib/*' grebewick.lab.Rush rate=100 hold=5000 cut=12 -- $(RUN)
+bench-load: build ## 20 s of calls at one gatekeeper as deploy/balancer.toml runs it, all of them cut at once in between
+	java -cp 'target/grebewick.jar:target/lib/*' grebewick.lab.LoadGenerator rate=100 hold=5000 cut=12 -- $(RUN)
 
 run: build        ## the Diameter front on loopback, as deploy/diameter.json says
 	RELAY_DIAMETER=deploy/diameter.json java -jar target/grebewick.jar serve
--- a/src/main/java/grebewick/lab/Rush.java
+++ b/src/main/java/grebewick/lab/LoadGenerator.java
@@ -22,10 +22,10 @@
 /**
  * Drives one gatekeeper process with open-loop calls, cuts all standing calls at once, and says what its event loop
  * cost and how soon each end was told. Run as
- * {@code java -cp target/grebewick.jar grebewick.lab.Rush rate=50 seconds=20 hold=700 cut=10 -- java ... serve}. With
- * {@code servers=1024 peers=1024 sockets=256} it says what a large fleet costs one gatekeeper.
+ * {@code java -cp target/grebewick.jar grebewick.lab.LoadGenerator rate=50 seconds=20 hold=700 cut=10 -- java ... serve}.
+ * With {@code servers=1024 peers=1024 sockets=256} it says what a large fleet costs one gatekeeper.
  */
-public final class Rush {
+public final class LoadGenerator {
     private static final String CONFIG = """
         {"name":"n0","listen":"127.0.0.1:%d","names":"127.0.0.1:%d","known":{"index":1,"updates":[{"snapshot":true,"endpoints":[%s]}]},
          "limits":{"sockets":%d},"peer_listen":"127.0.0.1:0","peers":[%s],
@@ -38,7 +38,7 @@
     /** Stand-in processes; with more servers than that, several share one. */
     private static final int MOST_PROCESSES = 8;
 
-    private Rush() { }
+    private LoadGenerator() { }
 
     /** Prints a table; exits with 1 where an end was not told within a second. */
     public static void main(String[] args) throws Exception {
@@ -48,14 +48,14 @@
         for (String arg : Arrays.asList(args).subList(0, split < 0 ? args.length : split)) {
             String[] pair = arg.split("=", 2);
             if (pair.length < 2 || !set.containsKey(pair[0])) {
-                System.err.println("rush: no such setting: " + arg + "; there are " + set.keySet());
+                System.err.println("load generator: no such setting: " + arg + "; there are " + set.keySet());
                 System.exit(2);
             }
             set.put(pair[0], Long.parseLong(pair[1]));
         }
         List<String> command = split < 0 ? List.of("java", "-jar", "target/grebewick.jar", "serve")
             : Arrays.asList(args).subList(split + 1, args.length);
-        System.exit(new Rush().run(set, command) ? 0 : 1);
+        System.exit(new LoadGenerator().run(set, command) ? 0 : 1);
     }
 
     private boolean run(Map<String, Long> set, List<String> command) throws Exception {
@@ -85,7 +85,7 @@
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = probe.getLocalPort();
         }
-        Path config = Files.createTempFile("rush", ".json");
+        Path config = Files.createTempFile("load-generator", ".json");
         Files.writeString(config, CONFIG.formatted(port, namesPort, known, set.get("sockets"),
             numbers(set.get("peers"), i -> "\"127.1.%d.%d:7946\"".formatted(i / 250, 1 + i % 250)), numbers(listed, i -> "" + i),
             set.get("peers")));
