Lab: ControlCostBench, picocli for LoadGenerator, counters at the stand-ins

What one gatekeeper spends on control was known from first looks alone. One real process against a stand-in name service is now measured by the number of listed servers and of changes a second: datagrams, bytes, processor time by threads, memory, descriptors, as a table and as JSON. picocli and HdrHistogram have the scope provided and go to target/lab-lib: the gatekeeper's class path does not have them. LoadGenerator takes options in place of bare words.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 .PHONY: build test lint bench-load run clean
 
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"   \#.*/\1/p' deploy/balancer.toml)
+LAB = 'target/grebewick.jar:target/lib/*:target/lab-lib/*'
 
 build:            ## the jar, with its libraries in target/lib, and the archive of loaded classes for quick starts
 	mvn -B -ntp -q -DskipTests package
@@ -14,7 +15,7 @@
 	mvn -B -ntp -q clean compile -Dmaven.compiler.failOnWarning=true -Dmaven.compiler.showWarnings=true
 
 bench-load: build ## 20 s of calls at one gatekeeper as deploy/balancer.toml runs it, all of them cut at once in between
-	java -cp 'target/grebewick.jar:target/lib/*' grebewick.lab.LoadGenerator rate=100 hold=5000 cut=12 -- $(RUN)
+	java -cp $(LAB) grebewick.lab.LoadGenerator --rate=100 --hold=5000 --cut=12 -- $(RUN)
 
 run: build        ## the Diameter front on loopback, as deploy/diameter.json says
 	RELAY_DIAMETER=deploy/diameter.json java -jar target/grebewick.jar serve
--- /dev/null
+++ b/src/main/java/grebewick/lab/GatekeeperConfig.java
@@ -0,0 +1,44 @@
+package grebewick.lab;
+
+import java.util.List;
+import java.util.function.IntFunction;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * The configuration file of a gatekeeper between stand-ins.
+ *
+ * @param port where it takes calls, on loopback
+ * @param namesPort where the name service answers
+ * @param known the servers that the file names
+ * @param peers other gatekeepers, none of which runs
+ * @param sockets descriptors that it may use
+ */
+record GatekeeperConfig(int port, int namesPort, List<StandInNames.Host> known, int peers, int sockets) {
+    private static final int ADDRESSES_A_NET = 250;
+    private static final String FORM = """
+        {"name":"n0","listen":"127.0.0.1:%d","names":"127.0.0.1:%d","known":{"index":1,"updates":[{"snapshot":true,"endpoints":[%s]}]},
+         "limits":{"sockets":%d},"peer_listen":"127.0.0.1:0","peers":[%s],
+         "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[%s]],"Resend":400000,"Release":500000,"Shape":"pools"},
+          "Bounds":{"AttemptsCap":4,"ConnectTimeout":500000,"MaxOpen":20000,"Cancel":true,"Probes":true,"RetryAfter":true},"ReplicasOfMe":%d,
+          "Grades":[{"Name":"a","GoalTime":400000,"HardLimit":3000000,"Effect":"retryable","Worth":1.0,"LateValue":0.1}],
+          "Report":{"Fields":["free","size","can_take","queue"],"How":"inline"},"Period":5000,
+          "Rules":{"Cold":5000000,"ColdFrom":0.5,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3}}}""";
+
+    /** The text of the file. */
+    String json() {
+        String endpoints = known.stream().map(h -> "{\"name\":\"" + h.id() + "\",\"address\":\"127.0.0.1:" + h.port()
+            + "\",\"zone\":\"" + h.zone() + "\",\"type\":\"std\",\"group\":" + h.group()
+            + ",\"status\":\"up\",\"weight\":4,\"since_ms\":0}").collect(Collectors.joining(","));
+        return FORM.formatted(port, namesPort, endpoints, sockets, joined(peers, GatekeeperConfig::peerAddress),
+            joined(known.size(), Integer::toString), peers);
+    }
+
+    private static String peerAddress(int index) {
+        return "\"127.1.%d.%d:7946\"".formatted(index / ADDRESSES_A_NET, 1 + index % ADDRESSES_A_NET);
+    }
+
+    private static String joined(int count, IntFunction<String> each) {
+        return IntStream.range(0, count).mapToObj(each).collect(Collectors.joining(","));
+    }
+}
--- a/src/main/java/grebewick/lab/StandInNames.java
+++ b/src/main/java/grebewick/lab/StandInNames.java
@@ -1,5 +1,6 @@
 package grebewick.lab;
 
+import grebewick.lab.measure.Traffic;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -25,6 +26,10 @@
 /** The name service by the platform's protocol: the list of servers over DNS (RFC 1035, SRV records of RFC 2782). */
 public final class StandInNames {
     private static final String FLEET = "_work._tcp.fleet.local.";
+    /** Bytes of a UDP datagram's payload over IPv4 at the most. */
+    static final int MOST_BYTES = 65_507;
+    /** The TC flag in the third byte of a message. */
+    private static final int CUT = 2;
 
     /** One server: id, zone, port on loopback, group, whether it drains, when it started (Unix ms, 0: long ago). */
     public record Host(String id, String zone, int port, int group, boolean drains, long startedMs) { }
@@ -32,6 +37,10 @@
     private final DatagramSocket socket;
     private final Map<Name, Host> hosts = new LinkedHashMap<>();
     private long serial;
+    /** The answer with list {@code serial}; null: it is to be put together. */
+    private byte[] listAnswer;
+    private long cutAnswers;
+    private volatile Traffic traffic = Traffic.NONE;
 
     /** An empty list, event 1. */
     public StandInNames(Vertx vertx) {
@@ -39,8 +48,9 @@
         socket = vertx.createDatagramSocket(new DatagramSocketOptions().setSendBufferSize(1 << 18));
         socket.handler(packet -> {
             try {
-                socket.send(Buffer.buffer(answer(new Message(packet.data().getBytes()))), packet.sender().port(),
-                    packet.sender().hostAddress());
+                byte[] answer = answer(new Message(packet.data().getBytes()));
+                traffic = traffic.received(packet.data().length()).sent(answer.length);
+                socket.send(Buffer.buffer(answer), packet.sender().port(), packet.sender().hostAddress());
             } catch (IOException e) {
                 // What is no question gets no answer.
                 socket.exceptionHandler(null);
@@ -58,6 +68,22 @@
         hosts.clear();
         now.forEach(h -> hosts.put(name(h.id + "." + h.zone + ".hosts."), h));
         serial++;
+        listAnswer = null;
+    }
+
+    /** Datagrams and bytes since the start; any thread may ask. */
+    public Traffic traffic() {
+        return traffic;
+    }
+
+    /** Lists that were longer than a datagram holds, since the start: they went out cut, with the TC flag. */
+    public long cutAnswers() {
+        return cutAnswers;
+    }
+
+    /** The process ends: questions are not answered any more. */
+    public Future<Void> close() {
+        return socket.close();
     }
 
     private static Name name(String text) {
@@ -69,6 +95,20 @@
     }
 
     private byte[] answer(Message question) throws IOException {
+        Record asked = question.getQuestion();
+        if (asked.getType() != Type.SRV) {
+            return encode(question);
+        }
+        listAnswer = listAnswer == null ? encode(question) : listAnswer;
+        // The answer but for its id is the same for all who ask.
+        byte[] answer = listAnswer.clone();
+        answer[0] = (byte) (question.getHeader().getID() >> 8);
+        answer[1] = (byte) question.getHeader().getID();
+        cutAnswers += (answer[2] & CUT) != 0 ? 1 : 0;
+        return answer;
+    }
+
+    private byte[] encode(Message question) throws IOException {
         Message m = new Message(question.getHeader().getID());
         m.getHeader().setFlag(Flags.QR);
         Record asked = question.getQuestion();
@@ -86,6 +126,6 @@
                 List.of("kind=std", "cell=" + host.group, "started=" + host.startedMs)), Section.ANSWER);
         }
         m.addRecord(new SOARecord(zone, DClass.IN, 0, zone, zone, serial, 1, 1, 1, 1), Section.AUTHORITY);
-        return m.toWire();
+        return m.toWire(MOST_BYTES);
     }
 }
--- a/src/main/java/grebewick/lab/StandInServer.java
+++ b/src/main/java/grebewick/lab/StandInServer.java
@@ -2,10 +2,12 @@
 
 import static grebewick.trunk.TrunkMessage.*;
 
+import grebewick.lab.measure.Traffic;
 import grebewick.trunk.TrunkCodec;
 import grebewick.trunk.TrunkMessage;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
@@ -36,11 +38,21 @@
     private final List<TrunkMessage> said = new ArrayList<>();
     private NetServer server;
     private long setUps;
+    private volatile Traffic traffic = Traffic.NONE;
+    private LongConsumer setUpTaken = id -> { };
+    private LongConsumer answerSent = id -> { };
 
-    /** {@code lines}: calls at once, more are refused; {@code ended} takes the id of each call that it ends. */
+    /**
+     * A server that does not listen yet.
+     *
+     * @param answerMs from a set-up to its answer; 0: at once
+     * @param holdMs from the answer to the release, 1 at least
+     * @param lines calls at once; more are refused
+     * @param ended takes the id of each call that it ends
+     */
     public StandInServer(Vertx vertx, long answerMs, long holdMs, int lines, LongConsumer ended) {
         this.vertx = vertx;
-        this.answerMs = Math.max(1, answerMs);
+        this.answerMs = answerMs;
         this.holdMs = Math.max(1, holdMs);
         this.lines = lines;
         this.ended = ended;
@@ -79,10 +91,24 @@
         return setUps;
     }
 
+    /** Chunks as read and messages as written, and their bytes, since it was made; any thread may ask. */
+    public Traffic traffic() {
+        return traffic;
+    }
+
+    /** Who is told of each call's set-up as it comes, and of its answer as it leaves. */
+    public void onCall(LongConsumer setUpTaken, LongConsumer answerSent) {
+        this.setUpTaken = setUpTaken;
+        this.answerSent = answerSent;
+    }
+
     private void accept(NetSocket socket) {
         TrunkCodec codec = new TrunkCodec();
         open.add(socket);
-        socket.handler(bytes -> codec.read(bytes, m -> take(socket, m)));
+        socket.handler(bytes -> {
+            traffic = traffic.received(bytes.length());
+            codec.read(bytes, m -> take(socket, m));
+        });
         socket.exceptionHandler(e -> socket.close());
         socket.closeHandler(v -> open.remove(socket));
         write(socket, new TrunkMessage(GROUP_STATE, 0, "", "", -1, "", report(), -1, new byte[0]));
@@ -103,14 +129,12 @@
                     return;
                 }
                 standing.put(m.call(), from);
-                vertx.setTimer(answerMs, t -> {
-                    if (standing.get(m.call()) == from) {
-                        answered.add(m.call());
-                        write(from, new TrunkMessage(ANSWER, m.call(), "", "", -1, "", report(), -1,
-                            "c=IN IP4 127.0.0.1".getBytes(StandardCharsets.US_ASCII)));
-                        vertx.setTimer(holdMs, h -> end(m.call(), NORMAL_CLEARING));
-                    }
-                });
+                setUpTaken.accept(m.call());
+                if (answerMs <= 0) {
+                    answer(m.call(), from);
+                } else {
+                    vertx.setTimer(answerMs, t -> answer(m.call(), from));
+                }
             }
             case RELEASE -> {
                 standing.remove(m.call());
@@ -122,6 +146,16 @@
         }
     }
 
+    private void answer(long call, NetSocket to) {
+        if (standing.get(call) == to) {
+            answered.add(call);
+            answerSent.accept(call);
+            write(to, new TrunkMessage(ANSWER, call, "", "", -1, "", report(), -1,
+                "c=IN IP4 127.0.0.1".getBytes(StandardCharsets.US_ASCII)));
+            vertx.setTimer(holdMs, h -> end(call, NORMAL_CLEARING));
+        }
+    }
+
     private void end(long call, int cause) {
         NetSocket at = standing.remove(call);
         if (at == null) {
@@ -142,6 +176,8 @@
     }
 
     private void write(NetSocket to, TrunkMessage m) {
-        to.write(TrunkCodec.encode(m));
+        Buffer bytes = TrunkCodec.encode(m);
+        traffic = traffic.sent(bytes.length());
+        to.write(bytes);
     }
 }
