--- a/src/main/java/grebewick/lab/StandInCallers.java
+++ b/src/main/java/grebewick/lab/StandInCallers.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongConsumer;
 
 /**
  * Callers over SIP on a few connections: they ask at given moments whatever comes back, give up at their deadline, and
@@ -28,6 +29,7 @@
     private final Map<String, Integer> counts = new java.util.TreeMap<>();
     private final List<Long> answerUs = new ArrayList<>();
     private final Map<Long, Long> overUs = new HashMap<>();
+    private LongConsumer answered = id -> { };
     private NetClient client;
     private long next = 1;
 
@@ -61,11 +63,16 @@
         });
     }
 
-    /** One call to a server group, now; it was meant for {@code meantUs}. */
-    public void call(int group, long meantUs) {
+    /** Who is told of each call that is answered with 200, as the answer comes. */
+    public void onAnswer(LongConsumer answered) {
+        this.answered = answered;
+    }
+
+    /** One call to a server group, now; it was meant for {@code meantUs}. Gives its id; 0: there is no connection. */
+    public long call(int group, long meantUs) {
         if (sockets.isEmpty()) {
             count("no connection");
-            return;
+            return 0;
         }
         long id = next++;
         NetSocket on = sockets.get((int) (id % sockets.size()));
@@ -81,6 +88,7 @@
                 write(on, SipMessage.request("CANCEL", bare.uri(), new Header("Call-ID", hex(id)), new Header("CSeq", "1 CANCEL")));
             }
         });
+        return id;
     }
 
     /** A caller ends a call of its own that stands; false: none does. */
@@ -116,6 +124,7 @@
             answerUs.add(nowUs - sinceUs);
             if (m.status() == 200) {
                 stood.put(id, nowUs);
+                answered.accept(id);
             }
         } else if (!m.method().equals("INVITE")) {
             count(m.method() + " " + m.status());
