Lab: HollowFleet, the real control code of many gatekeepers without calls

How the list of servers spreads over a fleet was not measured at all. Hollow gatekeepers (list client, subset, module) run many in a process over loopback sockets, behind ServerListSource and ControlPlane, so that another distribution can be set beside the present one: bytes and processor time of each, time until a change holds at the last, a control machine down, a restart of all.

--- a/src/main/java/grebewick/lab/Futures.java
+++ b/src/main/java/grebewick/lab/Futures.java
@@ -7,18 +7,18 @@
 import java.util.concurrent.TimeUnit;
 
 /** Waits of a tool's main thread for its event loop. */
-final class Futures {
+public final class Futures {
     private static final int PATIENCE_S = 10;
 
     private Futures() { }
 
     /** Waits for what is under way. */
-    static <T> T await(Future<T> future) throws Exception {
+    public static <T> T await(Future<T> future) throws Exception {
         return future.toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
     /** Runs a step on the event loop and gives its result. */
-    static <T> T onLoop(Vertx vertx, Callable<T> step) throws Exception {
+    public static <T> T onLoop(Vertx vertx, Callable<T> step) throws Exception {
         CompletableFuture<T> result = new CompletableFuture<>();
         vertx.runOnContext(v -> {
             try {
--- a/src/main/java/grebewick/lab/GatekeeperConfig.java
+++ b/src/main/java/grebewick/lab/GatekeeperConfig.java
@@ -14,7 +14,7 @@
  * @param peers other gatekeepers, none of which runs
  * @param sockets descriptors that it may use
  */
-record GatekeeperConfig(int port, int namesPort, List<StandInNames.Host> known, int peers, int sockets) {
+public record GatekeeperConfig(int port, int namesPort, List<StandInNames.Host> known, int peers, int sockets) {
     private static final int ADDRESSES_A_NET = 250;
     private static final String FORM = """
         {"name":"n0","listen":"127.0.0.1:%d","names":"127.0.0.1:%d","known":{"index":1,"updates":[{"snapshot":true,"endpoints":[%s]}]},
@@ -26,7 +26,7 @@
           "Rules":{"Cold":5000000,"ColdFrom":0.5,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3}}}""";
 
     /** The text of the file. */
-    String json() {
+    public String json() {
         String endpoints = known.stream().map(h -> "{\"name\":\"" + h.id() + "\",\"address\":\"127.0.0.1:" + h.port()
             + "\",\"zone\":\"" + h.zone() + "\",\"type\":\"std\",\"group\":" + h.group()
             + ",\"status\":\"up\",\"weight\":4,\"since_ms\":0}").collect(Collectors.joining(","));
--- a/src/main/java/grebewick/lab/StandInFleet.java
+++ b/src/main/java/grebewick/lab/StandInFleet.java
@@ -10,7 +10,7 @@
  * Listed servers and the few stand-in processes behind them: with more servers than {@link #MOST_PROCESSES}, several
  * share a port. All on the event loop of one Vert.x.
  */
-final class StandInFleet {
+public final class StandInFleet {
     /** Stand-in processes; with more servers than that, several share one. */
     static final int MOST_PROCESSES = 8;
     private static final String ZONE = "east";
@@ -38,7 +38,7 @@
     }
 
     /** So many listed servers that share these ports. */
-    static List<StandInNames.Host> hosts(int listed, List<Integer> ports) {
+    public static List<StandInNames.Host> hosts(int listed, List<Integer> ports) {
         List<StandInNames.Host> hosts = new ArrayList<>();
         for (int i = 0; i < listed; i++) {
             hosts.add(new StandInNames.Host("s-" + i, ZONE, ports.get(i % ports.size()), i, false, 0));
--- a/src/main/java/grebewick/lab/StandInNames.java
+++ b/src/main/java/grebewick/lab/StandInNames.java
@@ -60,7 +60,17 @@
 
     /** Listens on loopback; gives the port. */
     public Future<Integer> listen() {
-        return socket.listen(0, "127.0.0.1").map(s -> s.localAddress().port());
+        return listen(0);
+    }
+
+    /** Listens at a port of loopback, 0 stands for any; gives the port. */
+    public Future<Integer> listen(int port) {
+        return socket.listen(port, "127.0.0.1").map(s -> s.localAddress().port());
+    }
+
+    /** Numbers its events after those of another: what a name service keeps on disk over a restart. */
+    public void continueAfter(StandInNames other) {
+        serial = other.serial;
     }
 
     /** The list changes: one event more. */
--- /dev/null
+++ b/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
@@ -0,0 +1,118 @@
+package grebewick.lab.fleet;
+
+import grebewick.config.Address;
+import grebewick.config.Endpoint;
+import grebewick.core.CallControl.Fleet;
+import grebewick.core.CallControl.Scope;
+import grebewick.core.CallControl.Settings;
+import grebewick.core.CallControl.State;
+import grebewick.core.Clock;
+import grebewick.core.Gatekeeper;
+import grebewick.core.Logic;
+import grebewick.core.Offer;
+import grebewick.core.Servers;
+import grebewick.core.Timers;
+import grebewick.discovery.Subset;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * The control code of one gatekeeper as {@code Node} wires it, without callers and without connections to servers: each
+ * probe of a server is answered at once with a report of a server at rest. It tells {@link ChangeTimes} when a server's new
+ * start and when the whole list reached its module.
+ */
+final class HollowGatekeeper {
+    /** free, size, can_take, queue. */
+    private static final List<Double> AT_REST = List.of(1000.0, 1000.0, 1000.0, 0.0);
+
+    private final Clock clock;
+    private final Subset subset;
+    private final Gatekeeper<byte[]> core;
+    private final ServerListSource source;
+    private final ChangeTimes times;
+    private final int listed;
+    private final Map<String, Long> startedUs = new HashMap<>();
+    private boolean current;
+
+    /**
+     * A gatekeeper that does not ask yet.
+     *
+     * @param name what tells it from others
+     * @param listed servers in a whole list
+     * @param inUse servers that it works with at the most
+     */
+    HollowGatekeeper(Vertx vertx, Settings settings, String name, int listed, int inUse, List<Address> controlMachines,
+                     ServerListSource.Factory sources, Clock clock, ChangeTimes times) {
+        this.clock = clock;
+        this.times = times;
+        this.listed = listed;
+        Timers timers = (us, task) -> {
+            long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
+            return () -> vertx.cancelTimer(id);
+        };
+        subset = new Subset(inUse, settings.familyInfo().poolsByClass(), name, line -> { });
+        long seed = ThreadLocalRandom.current().nextLong();
+        core = new Gatekeeper<>(settings, new Logic(settings, seed), clock, timers, new RestingServers(), (peer, bytes) -> { },
+            line -> { });
+        source = sources.create(vertx, timers, controlMachines, seed, this::tell, line -> { });
+    }
+
+    /** Starts asking for the list. */
+    void start() {
+        source.start();
+    }
+
+    /** Asks no more; the module's timers go on until the process ends. */
+    Future<Void> close() {
+        return source.close();
+    }
+
+    private void tell(List<Endpoint> whole) {
+        List<Endpoint> used = subset.of(whole);
+        core.fleet(new Fleet(Scope.COMPLETE, 0, used.stream().map(Endpoint::entry).toList()), Map.of());
+        long nowUs = clock.nowUs();
+        for (Endpoint each : whole) {
+            long launchedUs = each.entry().launchedUs();
+            if (launchedUs > startedUs.getOrDefault(each.entry().server(), 0L)) {
+                startedUs.put(each.entry().server(), launchedUs);
+                times.held(launchedUs, nowUs);
+            }
+        }
+        if (!current && whole.size() == listed) {
+            current = true;
+            times.current(nowUs);
+        }
+    }
+
+    /** Servers that take no calls and answer each probe. */
+    private final class RestingServers implements Servers<byte[]> {
+        @Override
+        public void setUp(long call, int copy, String server, Offer<byte[]> offer, long waitUs) {
+            throw new IllegalStateException("a hollow gatekeeper has no calls");
+        }
+
+        @Override
+        public void giveUp(long call, int copy, String server) {
+            throw new IllegalStateException("a hollow gatekeeper has no calls");
+        }
+
+        @Override
+        public void release(long call, String server) {
+            throw new IllegalStateException("a hollow gatekeeper has no calls");
+        }
+
+        @Override
+        public void probe(String server) {
+            core.checked(server, State.OK, 0, AT_REST);
+        }
+
+        @Override
+        public void closeIdle(String server) {
+            // Nothing is open.
+        }
+    }
+}
