--- a/src/main/java/grebewick/lab/ControlCostBench.java
+++ b/src/main/java/grebewick/lab/ControlCostBench.java
@@ -24,10 +24,11 @@
  * service, processor time, memory and descriptors, by the number of listed servers and of changes of the list a second.
  * A change is a restart of one server: its record gets a new start time.
  */
-@Command(name = "ControlCostBench", mixinStandardHelpOptions = true, sortOptions = false,
-    description = "Measures what one gatekeeper without calls spends on discovery and health.")
+@Command(name = "ControlCostBench", mixinStandardHelpOptions = true, sortOptions = false, description = ControlCostBench.PURPOSE)
 public final class ControlCostBench implements Callable<Integer> {
-    @Option(names = "--servers", split = ",", defaultValue = "36,256,1024,3800", description = "listed servers (${DEFAULT-VALUE})")
+    static final String PURPOSE = "Measures what one gatekeeper without calls spends on discovery and health.";
+
+    @Option(names = "--servers", split = ",", defaultValue = "36,256,1024,3800", description = "listed servers")
     private List<Integer> servers;
 
     @Option(names = "--changes", split = ",", defaultValue = "0,1,10", description = "changes a second (${DEFAULT-VALUE})")
@@ -48,17 +49,17 @@
     @Option(names = "--runs", defaultValue = "2", description = "times that each size is run (${DEFAULT-VALUE})")
     private int runs;
 
-    @Option(names = "--json", defaultValue = "target/bench/control-cost.json", description = "file of the result (${DEFAULT-VALUE})")
+    @Option(names = "--json", defaultValue = "target/bench/control-cost.json", description = "the result (${DEFAULT-VALUE})")
     private Path json;
 
     @Parameters(arity = "0..*", description = "after --: the command that starts a gatekeeper")
     private List<String> command = new ArrayList<>();
 
     /** One size's run. */
-    private record Size(int listed, double changesPerSecond) { }
+    private record Size(int listed, double changesPerSecond) {}
 
     /** What one run told: rates a second. */
-    private record Cost(double datagrams, double bytes, double core, double loop, double serverBytes, boolean cut) { }
+    private record Cost(double datagrams, double bytes, double core, double loop, double serverBytes, boolean cut) {}
 
     /** Runs all sizes; exits with 0 once the result is written. */
     public static void main(String[] args) {
@@ -91,10 +92,12 @@
         try {
             StandInNames names = new StandInNames(vertx);
             int namesPort = Futures.await(names.listen());
-            StandInFleet fleet = new StandInFleet(vertx, size.listed, 1, 1, 1000, id -> { });
+            StandInFleet fleet = new StandInFleet(vertx, size.listed, 1, 1, 1000, id -> {});
             Futures.onLoop(vertx, () -> publish(names, fleet));
-            GatekeeperConfig config = new GatekeeperConfig(GatekeeperProcess.freePort(), namesPort, fleet.hosts(), peers, sockets);
-            try (GatekeeperProcess gatekeeper = GatekeeperProcess.start(command.isEmpty() ? GatekeeperProcess.COMMAND : command, config)) {
+            GatekeeperConfig config = new GatekeeperConfig(GatekeeperProcess.freePort(), namesPort, fleet.hosts(), peers,
+                sockets);
+            try (GatekeeperProcess gatekeeper = GatekeeperProcess.start(command.isEmpty() ? GatekeeperProcess.COMMAND : command,
+                config)) {
                 if (size.changesPerSecond > 0) {
                     int[] next = {0};
                     vertx.setPeriodic((long) (1000 / size.changesPerSecond), t -> {
@@ -116,7 +119,7 @@
     }
 
     private Cost read(int run, Size size, StandInNames names, StandInFleet fleet, GatekeeperProcess gatekeeper, ResultTable table)
-            throws Exception {
+        throws Exception {
         double load = MachineState.now().loadAverage();
         ProcessSample before = gatekeeper.sample();
         Traffic lists = names.traffic();
@@ -151,7 +154,8 @@
                 datagrams.add(new LinearFit.Point(size.listed, c.datagrams));
             }));
             if (bytes.stream().mapToDouble(LinearFit.Point::x).distinct().count() > 1) {
-                table.note(String.format(Locale.ROOT, "At %.2f changes/s, by least squares over %s: KB/s %s; core %% %s; datagrams/s %s.",
+                table.note(String.format(Locale.ROOT,
+                    "At %.2f changes/s, by least squares over %s: KB/s %s; core %% %s; datagrams/s %s.",
                     rate, bytes.stream().mapToInt(p -> (int) p.x()).distinct().boxed().toList(), line(bytes), line(core),
                     line(datagrams)));
             }
--- a/src/main/java/grebewick/lab/Futures.java
+++ b/src/main/java/grebewick/lab/Futures.java
@@ -10,7 +10,7 @@
 public final class Futures {
     private static final int PATIENCE_S = 10;
 
-    private Futures() { }
+    private Futures() {}
 
     /** Waits for what is under way. */
     public static <T> T await(Future<T> future) throws Exception {
--- a/src/main/java/grebewick/lab/LatencyBench.java
+++ b/src/main/java/grebewick/lab/LatencyBench.java
@@ -22,9 +22,10 @@
  * goes straight to the stand-in servers and through a gatekeeper process, and the difference is what is added. The first
  * seconds after the start are told apart from those after a warm-up.
  */
-@Command(name = "LatencyBench", mixinStandardHelpOptions = true, sortOptions = false,
-    description = "Measures the latency that one gatekeeper adds to a call.")
+@Command(name = "LatencyBench", mixinStandardHelpOptions = true, sortOptions = false, description = LatencyBench.PURPOSE)
 public final class LatencyBench implements Callable<Integer> {
+    static final String PURPOSE = "Measures the latency that one gatekeeper adds to a call.";
+
     private static final int CONNECTIONS = 4;
     private static final int LINES = 2_000;
     private static final long HOLD_MS = 500;
@@ -42,7 +43,7 @@
         PROBED_MICROSECONDS
     }
 
-    @Option(names = "--ways", split = ",", defaultValue = "DIRECT,GATEKEEPER", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
+    @Option(names = "--ways", split = ",", defaultValue = "DIRECT,GATEKEEPER", description = "${COMPLETION-CANDIDATES}")
     private List<Way> ways;
 
     @Option(names = "--rate", defaultValue = "118", description = "calls a second (${DEFAULT-VALUE})")
@@ -51,7 +52,7 @@
     @Option(names = "--servers", defaultValue = "14", description = "listed servers (${DEFAULT-VALUE})")
     private int servers;
 
-    @Option(names = "--work", split = ",", defaultValue = "1", description = "ms from set-up to answer; 0: at once (${DEFAULT-VALUE})")
+    @Option(names = "--work", split = ",", defaultValue = "1", description = "ms from set-up to answer (${DEFAULT-VALUE})")
     private List<Long> workMs;
 
     @Option(names = "--pacer", defaultValue = "THREAD", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
@@ -80,7 +81,8 @@
     @Override
     public Integer call() throws Exception {
         ResultTable table = new ResultTable("LatencyBench", List.of("--ways=" + ways, "--rate=" + rate, "--servers=" + servers,
-            "--work=" + workMs, "--pacer=" + pacer, "--first=" + firstSeconds, "--warm-up=" + warmUpSeconds, "--seconds=" + seconds),
+            "--work=" + workMs, "--pacer=" + pacer, "--first=" + firstSeconds, "--warm-up=" + warmUpSeconds,
+            "--seconds=" + seconds),
             "way", "work ms", "phase", "span", "calls", "50 % us", "90 % us", "99 % us", "99.9 % us", "most us");
         for (long work : workMs) {
             for (Way way : ways) {
@@ -99,7 +101,7 @@
         try {
             StandInNames names = new StandInNames(serversSide);
             int namesPort = Futures.await(names.listen());
-            StandInFleet fleet = new StandInFleet(serversSide, servers, work, HOLD_MS, LINES, id -> { });
+            StandInFleet fleet = new StandInFleet(serversSide, servers, work, HOLD_MS, LINES, id -> {});
             names.list(fleet.hosts());
             GatekeeperConfig config = new GatekeeperConfig(GatekeeperProcess.freePort(), namesPort, fleet.hosts(), 1, 1024);
             if (way == Way.DIRECT) {
@@ -116,7 +118,8 @@
                 Futures.await(callers.connect(config.port(), CONNECTIONS));
                 ProcessSample before = gatekeeper.sample();
                 drive(way, work, callersSide, fleet, phases, group -> callers.call(group, Pacer.nowUs()), table);
-                table.note(String.format(Locale.ROOT, "%s, work %d ms: %.2f %% of a core, its event loop %.2f %%; outcomes %s", way, work,
+                table.note(String.format(Locale.ROOT, "%s, work %d ms: %.2f %% of a core, its event loop %.2f %%; outcomes %s",
+                    way, work,
                     gatekeeper.sample().coresSince(before) * 100, gatekeeper.sample().coresSince(before, "vert.x-eventloo") * 100,
                     callers.counts()));
             }
@@ -132,7 +135,8 @@
     }
 
     private void drive(Way way, long work, Vertx vertx, StandInFleet fleet, List<CallTimes> phases, CallStarter starter,
-                       ResultTable table) throws Exception {
+                       ResultTable table)
+        throws Exception {
         long startUs = Pacer.nowUs();
         long firstUs = startUs + firstSeconds * 1_000_000L;
         long warmUs = firstUs + warmUpSeconds * 1_000_000L;
@@ -161,7 +165,8 @@
     private static void add(ResultTable table, Way way, long work, String phase, CallTimes times) {
         for (CallTimes.Span span : CallTimes.Span.values()) {
             Histogram h = times.histogram(span);
-            table.add(way.toString(), work, phase, span.text, h.getTotalCount(), h.getValueAtPercentile(50), h.getValueAtPercentile(90),
+            table.add(way.toString(), work, phase, span.text, h.getTotalCount(), h.getValueAtPercentile(50),
+                h.getValueAtPercentile(90),
                 h.getValueAtPercentile(99), h.getValueAtPercentile(99.9), h.getMaxValue());
         }
         if (times.unanswered() > 0) {
--- a/src/main/java/grebewick/lab/LoadGenerator.java
+++ b/src/main/java/grebewick/lab/LoadGenerator.java
@@ -20,9 +20,10 @@
  * Drives one gatekeeper process with open-loop calls, cuts all standing calls at once, and says what its event loop
  * cost and how soon each end was told. Exits with 1 where an end was not told within a second.
  */
-@Command(name = "LoadGenerator", mixinStandardHelpOptions = true, sortOptions = false,
-    description = "Drives one gatekeeper with open-loop calls.")
+@Command(name = "LoadGenerator", mixinStandardHelpOptions = true, sortOptions = false, description = LoadGenerator.PURPOSE)
 public final class LoadGenerator implements Callable<Integer> {
+    static final String PURPOSE = "Drives one gatekeeper with open-loop calls.";
+
     private static final long DEADLINE_MS = 3_000;
     private static final int CONNECTIONS = 4;
     private static final int REPORT_EVERY_S = 5;
@@ -74,7 +75,8 @@
             id -> endedUs.putIfAbsent(id, nowUs()));
         names.list(fleet.hosts());
         GatekeeperConfig config = new GatekeeperConfig(GatekeeperProcess.freePort(), namesPort, fleet.hosts(), peers, sockets);
-        try (GatekeeperProcess gatekeeper = GatekeeperProcess.start(command.isEmpty() ? GatekeeperProcess.COMMAND : command, config)) {
+        try (GatekeeperProcess gatekeeper = GatekeeperProcess.start(command.isEmpty() ? GatekeeperProcess.COMMAND : command,
+            config)) {
             StandInCallers callers = new StandInCallers(vertx, "a", DEADLINE_MS);
             Futures.await(callers.connect(config.port(), CONNECTIONS));
             return drive(vertx, gatekeeper, callers, fleet, endedUs) ? 0 : 1;
@@ -84,12 +86,13 @@
     }
 
     private boolean drive(Vertx vertx, GatekeeperProcess gatekeeper, StandInCallers callers, StandInFleet fleet,
-                          Map<Long, Long> endedUs) throws Exception {
+                          Map<Long, Long> endedUs)
+        throws Exception {
         long startUs = nowUs();
         CountDownLatch done = callAll(vertx, callers, startUs);
         if (cutAtSecond > 0) {
-            vertx.setTimer(cutAtSecond * 1000, t ->
-                System.out.println("cut " + fleet.processes().stream().mapToInt(StandInServer::cutAll).sum() + " calls at once"));
+            vertx.setTimer(cutAtSecond * 1000, t -> System.out
+                .println("cut " + fleet.processes().stream().mapToInt(StandInServer::cutAll).sum() + " calls at once"));
         }
         long loopMs = 0;
         for (long second = REPORT_EVERY_S; second <= seconds; second += REPORT_EVERY_S) {
@@ -136,7 +139,8 @@
             long lateUs = heard == null ? Long.MAX_VALUE : heard - end.getValue();
             if (lateUs > TOLD_WITHIN_US) {
                 untold++;
-                System.out.println("call " + end.getKey() + " was told " + (heard == null ? "never" : lateUs + " us after its end"));
+                System.out
+                    .println("call " + end.getKey() + " was told " + (heard == null ? "never" : lateUs + " us after its end"));
             }
             told.add(lateUs);
         }
--- a/src/main/java/grebewick/lab/ProbedGatekeeper.java
+++ b/src/main/java/grebewick/lab/ProbedGatekeeper.java
@@ -72,7 +72,7 @@
         Consumer<String> log = System.err::println;
         Trunk trunk = new Trunk(vertx, config.settings(), config.sockets() / 2, clock, timers, log);
         Gatekeeper<byte[]> core = new Gatekeeper<>(config.settings(), probed(new Logic(config.settings(), config.seed())), clock,
-            timers, trunk, (peer, bytes) -> { }, log);
+            timers, trunk, (peer, bytes) -> {}, log);
         trunk.attach(core);
         SipFront front = new SipFront(vertx, config.settings(), config.sockets(), core, clock, timers, log);
         tell(trunk, core, Scope.PERSISTED, config.known());
@@ -123,7 +123,8 @@
     }
 
     private void report() {
-        System.out.println("probes, timers of a " + timerStep + ": first attempts " + heldUs.getTotalCount() + ", chosen in the turn of the call "
+        System.out.println("probes, timers of a " + timerStep + ": first attempts " + heldUs.getTotalCount()
+            + ", chosen in the turn of the call "
             + atOnce + "; held by the module, us: " + text(heldUs) + "; timers late, us: " + text(lateUs));
     }
 
--- a/src/main/java/grebewick/lab/StandInCallers.java
+++ b/src/main/java/grebewick/lab/StandInCallers.java
@@ -29,7 +29,7 @@
     private final Map<String, Integer> counts = new java.util.TreeMap<>();
     private final List<Long> answerUs = new ArrayList<>();
     private final Map<Long, Long> overUs = new HashMap<>();
-    private LongConsumer answered = id -> { };
+    private LongConsumer answered = id -> {};
     private NetClient client;
     private long next = 1;
 
@@ -85,7 +85,8 @@
         vertx.setTimer(deadlineMs, t -> {
             if (asked.remove(id) != null) {
                 count("gave up");
-                write(on, SipMessage.request("CANCEL", bare.uri(), new Header("Call-ID", hex(id)), new Header("CSeq", "1 CANCEL")));
+                write(on,
+                    SipMessage.request("CANCEL", bare.uri(), new Header("Call-ID", hex(id)), new Header("CSeq", "1 CANCEL")));
             }
         });
         return id;
--- a/src/main/java/grebewick/lab/StandInServer.java
+++ b/src/main/java/grebewick/lab/StandInServer.java
@@ -39,8 +39,8 @@
     private NetServer server;
     private long setUps;
     private volatile Traffic traffic = Traffic.NONE;
-    private LongConsumer setUpTaken = id -> { };
-    private LongConsumer answerSent = id -> { };
+    private LongConsumer setUpTaken = id -> {};
+    private LongConsumer answerSent = id -> {};
 
     /**
      * A server that does not listen yet.
@@ -125,7 +125,8 @@
             case SET_UP -> {
                 setUps++;
                 if (standing.size() >= lines) {
-                    write(from, new TrunkMessage(RELEASE, m.call(), "", "", -1, "all_trunks_busy", report(), NO_CIRCUIT, new byte[0]));
+                    write(from,
+                        new TrunkMessage(RELEASE, m.call(), "", "", -1, "all_trunks_busy", report(), NO_CIRCUIT, new byte[0]));
                     return;
                 }
                 standing.put(m.call(), from);
@@ -142,7 +143,7 @@
                 write(from, of(RELEASED, m.call(), -1));
             }
             case TEST -> write(from, new TrunkMessage(TESTED, m.call(), "", "", -1, "", report(), 1, new byte[0]));
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/grebewick/lab/fleet/HollowFleet.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleet.java
@@ -22,9 +22,10 @@
  * How the list of servers spreads over a fleet of hollow gatekeepers, and what that costs: bytes, processor time and memory
  * of each, time until a change holds at the last one, with all control machines and with one killed, and a restart of all.
  */
-@Command(name = "HollowFleet", mixinStandardHelpOptions = true, sortOptions = false,
-    description = "Measures how the list of servers spreads over many hollow gatekeepers.")
+@Command(name = "HollowFleet", mixinStandardHelpOptions = true, sortOptions = false, description = HollowFleet.PURPOSE)
 public final class HollowFleet implements Callable<Integer> {
+    static final String PURPOSE = "Measures how the list of servers spreads over many hollow gatekeepers.";
+
     /** Longest part of a run; with it a run ends by itself. */
     private static final int PATIENCE_S = 60;
     private static final int START_SERVER_PORT = 7_000;
@@ -48,7 +49,7 @@
     @Option(names = "--heap-mb", defaultValue = "1024", description = "heap of each process at the most (${DEFAULT-VALUE})")
     private int heapMb;
 
-    @Option(names = "--in-use", defaultValue = "324", description = "servers a gatekeeper works with at the most (${DEFAULT-VALUE})")
+    @Option(names = "--in-use", defaultValue = "324", description = "servers a gatekeeper works with (${DEFAULT-VALUE})")
     private int inUse;
 
     @Option(names = "--changes", defaultValue = "5", description = "changes of the list in a reading (${DEFAULT-VALUE})")
@@ -63,7 +64,7 @@
     @Option(names = "--spread-ms", defaultValue = "1000", description = "ms over which starts are spread (${DEFAULT-VALUE})")
     private int spreadMs;
 
-    @Option(names = "--json", defaultValue = "target/bench/hollow-fleet.json", description = "file of the result (${DEFAULT-VALUE})")
+    @Option(names = "--json", defaultValue = "target/bench/hollow-fleet.json", description = "the result (${DEFAULT-VALUE})")
     private Path json;
 
     /** Runs all sizes; exits with 0 once the result is written. */
@@ -74,14 +75,17 @@
     @Override
     public Integer call() throws Exception {
         if (workers * heapMb > WORKER_HEAP_LIMIT_MB) {
-            throw new IllegalArgumentException("heaps of " + workers + " times " + heapMb + " MB are more than " + WORKER_HEAP_LIMIT_MB);
+            throw new IllegalArgumentException(
+                "heaps of " + workers + " times " + heapMb + " MB are more than " + WORKER_HEAP_LIMIT_MB);
         }
         ResultTable table = new ResultTable("HollowFleet", List.of("--distribution=" + distribution, "--servers=" + servers,
-            "--gatekeepers=" + gatekeepers, "--workers=" + workers, "--loops=" + loops, "--in-use=" + inUse, "--changes=" + changes,
+            "--gatekeepers=" + gatekeepers, "--workers=" + workers, "--loops=" + loops, "--in-use=" + inUse,
+            "--changes=" + changes,
             "--every-ms=" + everyMs, "--idle=" + idleSeconds, "--spread-ms=" + spreadMs),
             "distribution", "servers", "gatekeepers", "part", "seconds", "KB/s a gatekeeper", "messages/s a gatekeeper",
             "core % a gatekeeper", "MB in all at control", "peak MB/s at one machine", "peak messages/s at one machine",
-            "all current after s", "changes held by all", "last holds after s, worst", "heap KB a gatekeeper", "RSS KB a gatekeeper",
+            "all current after s", "changes held by all", "last holds after s, worst", "heap KB a gatekeeper",
+            "RSS KB a gatekeeper",
             "load average");
         for (int listed : servers) {
             for (int count : gatekeepers) {
@@ -118,9 +122,10 @@
             for (int i = 0; i < workers; i++) {
                 int from = i * count / workers;
                 int until = (i + 1) * count / workers;
-                processes.add(new WorkerProcess(heapMb, List.of("--distribution=" + distribution, "--machines=" + String.join(",", addresses),
-                    "--first=" + from, "--gatekeepers=" + (until - from), "--listed=" + listed, "--in-use=" + inUse,
-                    "--spread-ms=" + spreadMs, "--loops=" + loops, "--most-seconds=" + 8 * PATIENCE_S)));
+                processes.add(new WorkerProcess(heapMb,
+                    List.of("--distribution=" + distribution, "--machines=" + String.join(",", addresses),
+                        "--first=" + from, "--gatekeepers=" + (until - from), "--listed=" + listed, "--in-use=" + inUse,
+                        "--spread-ms=" + spreadMs, "--loops=" + loops, "--most-seconds=" + 8 * PATIENCE_S)));
             }
             meter = new TrafficMeter(control, machines.size());
             empty = report();
@@ -145,7 +150,8 @@
                 each.read();
             }
             WorkerReport now = awaitCurrent();
-            reading.add(now, now.current() == count ? seconds(now.lastCurrentUs() - fromUs) : "not all: " + now.current(), List.of(), 0);
+            reading.add(now, now.current() == count ? seconds(now.lastCurrentUs() - fromUs) : "not all: " + now.current(),
+                List.of(), 0);
         }
 
         private WorkerReport awaitCurrent() throws Exception {
@@ -172,7 +178,8 @@
 
         /** One control machine ends; changes are made while it is down, and it comes back empty. */
         private void killed() throws Exception {
-            Reading reading = new Reading(machines.size() > 1 ? "one machine of " + machines.size() + " killed" : "the one machine down");
+            Reading reading = new Reading(
+                machines.size() > 1 ? "one machine of " + machines.size() + " killed" : "the one machine down");
             control.kill(0);
             List<Long> made = makeChanges(changes);
             if (machines.size() > 1) {
@@ -237,13 +244,16 @@
                 double elapsed = (System.nanoTime() - fromNs) / 1e9;
                 Traffic traffic = meter.total().since(trafficBefore);
                 List<Holders> held = heldByAll(now, made);
-                Object worst = held.isEmpty() ? "-" : seconds(held.stream().mapToLong(c -> c.lastUs() - c.startedUs()).max().orElse(0));
+                Object worst = held.isEmpty() ? "-"
+                    : seconds(held.stream().mapToLong(c -> c.lastUs() - c.startedUs()).max().orElse(0));
                 table.add(distribution.toString(), listed, count, part, elapsed, traffic.bytes() / elapsed / count / 1000,
                     traffic.messages() / elapsed / count, (now.cpuNs() - before.cpuNs()) / 1e7 / elapsed / count,
                     traffic.bytes() / 1e6, meter.peakBytes() / 1e6, meter.peakMessages(), allCurrent,
-                    changesMade == 0 ? "-" : held.size() + " of " + changesMade, worst, (now.heapKb() - empty.heapKb()) / (double) count,
+                    changesMade == 0 ? "-" : held.size() + " of " + changesMade, worst,
+                    (now.heapKb() - empty.heapKb()) / (double) count,
                     (now.residentKb() - empty.residentKb()) / (double) count, MachineState.now().loadAverage());
-                System.out.printf(Locale.ROOT, "%s, %d servers, %d gatekeepers, %s: %.2f KB/s and %.3f %% of a core each; current %s, held %s, last %s%n",
+                System.out.printf(Locale.ROOT,
+                    "%s, %d servers, %d gatekeepers, %s: %.2f KB/s and %.3f %% of a core each; current %s, held %s, last %s%n",
                     distribution, listed, count, part, traffic.bytes() / elapsed / count / 1000,
                     (now.cpuNs() - before.cpuNs()) / 1e7 / elapsed / count, allCurrent, held.size(), worst);
             }
--- a/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
@@ -75,7 +75,8 @@
     public Integer call() throws Exception {
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(loops));
         vertx.setTimer(TimeUnit.SECONDS.toMillis(mostSeconds), t -> Runtime.getRuntime().halt(3));
-        Settings settings = NodeConfig.parse(new GatekeeperConfig(1, 1, StandInFleet.hosts(listed, List.of(1)), 1, 1024).json(), Map.of())
+        Settings settings = NodeConfig
+            .parse(new GatekeeperConfig(1, 1, StandInFleet.hosts(listed, List.of(1)), 1, 1024).json(), Map.of())
             .settings();
         print(List.of(WorkerReport.END));
         BufferedReader commands = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
--- a/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
+++ b/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
@@ -54,11 +54,11 @@
             long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
             return () -> vertx.cancelTimer(id);
         };
-        subset = new Subset(inUse, settings.familyInfo().poolsByClass(), name, line -> { });
+        subset = new Subset(inUse, settings.familyInfo().poolsByClass(), name, line -> {});
         long seed = ThreadLocalRandom.current().nextLong();
-        core = new Gatekeeper<>(settings, new Logic(settings, seed), clock, timers, new RestingServers(), (peer, bytes) -> { },
-            line -> { });
-        source = sources.create(vertx, timers, controlMachines, seed, this::tell, line -> { });
+        core = new Gatekeeper<>(settings, new Logic(settings, seed), clock, timers, new RestingServers(), (peer, bytes) -> {},
+            line -> {});
+        source = sources.create(vertx, timers, controlMachines, seed, this::tell, line -> {});
     }
 
     /** Starts asking for the list. */
--- a/src/main/java/grebewick/lab/fleet/ServerListSource.java
+++ b/src/main/java/grebewick/lab/fleet/ServerListSource.java
@@ -25,7 +25,8 @@
          * @param seed of the client's own randomness
          * @param news takes each newer list, whole
          */
-        ServerListSource create(Vertx vertx, Timers timers, List<Address> controlMachines, long seed, Consumer<List<Endpoint>> news,
+        ServerListSource create(Vertx vertx, Timers timers, List<Address> controlMachines, long seed,
+                                Consumer<List<Endpoint>> news,
                                 Consumer<String> log);
     }
 }
--- a/src/main/java/grebewick/lab/fleet/WorkerProcess.java
+++ b/src/main/java/grebewick/lab/fleet/WorkerProcess.java
@@ -18,9 +18,10 @@
 
     /** Starts it with so much heap, and returns once it takes commands. */
     WorkerProcess(int heapMb, List<String> arguments) throws IOException {
-        List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
-            "-Xmx" + heapMb + "m", "-XX:TieredStopAtLevel=1", "-Dio.netty.jfr.enabled=false", "-cp",
-            System.getProperty("java.class.path"), HollowFleetWorker.class.getName()));
+        List<String> command = new ArrayList<>(
+            List.of(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
+                "-Xmx" + heapMb + "m", "-XX:TieredStopAtLevel=1", "-Dio.netty.jfr.enabled=false", "-cp",
+                System.getProperty("java.class.path"), HollowFleetWorker.class.getName()));
         command.addAll(arguments);
         process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
         commands = new BufferedWriter(new OutputStreamWriter(process.getOutputStream(), StandardCharsets.US_ASCII));
--- a/src/main/java/grebewick/lab/measure/LinearFit.java
+++ b/src/main/java/grebewick/lab/measure/LinearFit.java
@@ -11,7 +11,7 @@
  */
 public record LinearFit(double intercept, double slope, double largestError) {
     /** One measured point. */
-    public record Point(double x, double y) { }
+    public record Point(double x, double y) {}
 
     /** Fits at least two points with different {@code x}. */
     public static LinearFit of(List<Point> points) {
--- a/src/main/java/grebewick/lab/measure/ThreadTime.java
+++ b/src/main/java/grebewick/lab/measure/ThreadTime.java
@@ -8,7 +8,7 @@
     private static final int USER_TIME = 11;
     private static final int SYSTEM_TIME = 12;
 
-    /** Reads a line of {@code /proc/PID/task/TID/stat} or {@code /proc/PID/stat}; the name may itself have blanks and parentheses. */
+    /** Reads a line of {@code /proc/PID/task/TID/stat} or {@code /proc/PID/stat}; the name may have blanks and parentheses. */
     public static ThreadTime parseStat(String line) {
         int open = line.indexOf('(');
         int close = line.lastIndexOf(')');
--- a/src/test/java/grebewick/config/NodeConfigTest.java
+++ b/src/test/java/grebewick/config/NodeConfigTest.java
@@ -17,10 +17,13 @@
          "peers":["127.3.0.1:7946"],"peers_all":"127.3.255.1:7946","names":"127.2.0.1:1053",
          "known":{"index":41,"updates":[
           {"index":7,"endpoints":{"index":7,"snapshot":true,"endpoints":[
-           {"name":"s-1","address":"127.1.0.9:5070","zone":"east","type":"std","group":2,"status":"up","weight":4,"since_ms":5},
-           {"name":"s-2","address":"127.1.0.8:5070","zone":"east","type":"std","group":1,"status":"up","weight":4,"since_ms":0}]}},
+           {"name":"s-1","address":"127.1.0.9:5070","zone":"east","type":"std","group":2,
+            "status":"up","weight":4,"since_ms":5},
+           {"name":"s-2","address":"127.1.0.8:5070","zone":"east","type":"std","group":1,
+            "status":"up","weight":4,"since_ms":0}]}},
           {"index":41,"snapshot":false,"endpoints":[
-           {"name":"s-1","address":"127.1.0.9:5070","zone":"east","type":"std","group":2,"status":"draining","weight":4,"since_ms":5},
+           {"name":"s-1","address":"127.1.0.9:5070","zone":"east","type":"std","group":2,
+            "status":"draining","weight":4,"since_ms":5},
            {"name":"s-2","address":"127.1.0.8:5070","status":"removed"}]}]},
          "settings":""" + Sites.SETTINGS + "}";
 
@@ -43,7 +46,8 @@
     void aThousandServersAndPeersAreRead() {
         String servers = IntStream.range(0, 1024).mapToObj(i -> ("{\"name\":\"s-%d\",\"address\":\"127.1.0.9:%d\",\"group\":%d,"
             + "\"status\":\"up\"}").formatted(i, 5070 + i, i)).collect(Collectors.joining(","));
-        String peers = IntStream.range(0, 1024).mapToObj(i -> "\"127.3.0.1:" + (7000 + i) + "\"").collect(Collectors.joining(","));
+        String peers = IntStream.range(0, 1024).mapToObj(i -> "\"127.3.0.1:" + (7000 + i) + "\"")
+            .collect(Collectors.joining(","));
         NodeConfig c = NodeConfig.parse(FILE.replace("\"127.3.0.1:7946\"", peers).replaceAll("(?s)\"known\":.*\"settings\":",
             "\"known\":{\"index\":1,\"updates\":[{\"snapshot\":true,\"endpoints\":[" + servers + "]}]},\"settings\":"), Map.of());
         assertThat(c.peers().get(1023)).isEqualTo(new Address("127.3.0.1", 8023));
--- a/src/test/java/grebewick/lab/fleet/WorkerReportTest.java
+++ b/src/test/java/grebewick/lab/fleet/WorkerReportTest.java
@@ -9,7 +9,8 @@
 
 class WorkerReportTest {
     private static final WorkerReport FIRST = new WorkerReport(3, 70, 5, 10, 1, List.of(new Holders(50, 3, 60)));
-    private static final WorkerReport SECOND = new WorkerReport(2, 90, 6, 20, 2, List.of(new Holders(40, 1, 45), new Holders(50, 2, 55)));
+    private static final WorkerReport SECOND = new WorkerReport(2, 90, 6, 20, 2,
+        List.of(new Holders(40, 1, 45), new Holders(50, 2, 55)));
 
     @Test
     void aReportIsReadAsItWasWritten() {
@@ -20,7 +21,8 @@
 
     @Test
     void reportsAddUpByChangeAndTheLatestCounts() {
-        assertThat(FIRST.and(SECOND)).isEqualTo(new WorkerReport(5, 90, 11, 30, 3, List.of(new Holders(40, 1, 45), new Holders(50, 5, 60))));
+        assertThat(FIRST.and(SECOND))
+            .isEqualTo(new WorkerReport(5, 90, 11, 30, 3, List.of(new Holders(40, 1, 45), new Holders(50, 5, 60))));
     }
 
     @Test
--- a/src/test/java/grebewick/lab/measure/MeasureTest.java
+++ b/src/test/java/grebewick/lab/measure/MeasureTest.java
@@ -39,7 +39,8 @@
     @Test
     void partsOfACoreAreProcessorTimeOverTime() {
         ProcessSample before = new ProcessSample(0, 0, Map.of("loop-1", 0L, "other", 0L), 1, 1, 1);
-        ProcessSample after = new ProcessSample(1_000_000_000L, 600_000_000L, Map.of("loop-1", 250_000_000L, "other", 250_000_000L),
+        ProcessSample after = new ProcessSample(1_000_000_000L, 600_000_000L,
+            Map.of("loop-1", 250_000_000L, "other", 250_000_000L),
             1, 1, 1);
         assertThat(after.coresSince(before)).isCloseTo(0.6, within(1e-9));
         assertThat(after.coresSince(before, "loop")).isCloseTo(0.25, within(1e-9));
@@ -88,7 +89,8 @@
         ResultTable table = new ResultTable("b", List.of("--x=1"), "size", "KB/s", "text");
         table.add(36, 0.25, "a \"word\"");
         table.note("idle");
-        assertThat(table.markdown()).isEqualTo("| size | KB/s | text |\n| --- | --- | --- |\n| 36 | 0.2500 | a \"word\" |\n\nidle\n");
+        assertThat(table.markdown())
+            .isEqualTo("| size | KB/s | text |\n| --- | --- | --- |\n| 36 | 0.2500 | a \"word\" |\n\nidle\n");
         assertThat(table.json()).contains("\"bench\" : \"b\"").contains("\"size\" : 36").contains("\"KB/s\" : 0.25")
             .contains("\"a \\\"word\\\"\"").contains("\"idle\"");
         assertThatThrownBy(() -> table.add(1)).isInstanceOf(IllegalArgumentException.class);
