--- a/src/main/java/grebewick/lab/fleet/ControlPlane.java
+++ b/src/main/java/grebewick/lab/fleet/ControlPlane.java
@@ -12,7 +12,7 @@
     List<Address> open() throws Exception;
 
     /** The list of servers changes. */
-    void publish(List<Host> hosts) throws Exception;
+    void publish(List<Host> hosts, FleetPlan plan) throws Exception;
 
     /** What one machine has taken and sent; any thread may ask. */
     Traffic traffic(int machine);
--- a/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
@@ -49,6 +49,12 @@
     @Option(names = "--listed", required = true, description = "servers in a whole list")
     private int listed;
 
+    @Option(names = "--services", required = true)
+    private int services;
+
+    @Option(names = "--called", required = true, description = "services that a gatekeeper calls")
+    private int called;
+
     @Option(names = "--in-use", required = true, description = "servers that a gatekeeper works with at the most")
     private int inUse;
 
@@ -101,14 +107,16 @@
         gatekeepers.clear();
         times.clear();
         List<Address> addresses = machines.stream().map(Address::parse).toList();
+        FleetPlan plan = new FleetPlan(listed, services, called);
         Random random = new Random(first);
         for (int i = 0; i < count; i++) {
-            String name = "g" + (first + i);
+            int number = first + i;
+            String name = "g" + number;
             CompletableFuture<HollowGatekeeper> made = new CompletableFuture<>();
             int delayMs = 1 + random.nextInt(Math.max(1, spreadMs));
             Context context = ((VertxInternal) vertx).createEventLoopContext();
             context.runOnContext(v -> {
-                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, name, listed, inUse, addresses,
+                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, name, distribution.listedFor(plan, number), inUse, addresses, plan.zonesOf(number),
                     distribution.sources(), clock, times);
                 vertx.setTimer(delayMs, t -> gatekeeper.start());
                 made.complete(gatekeeper);
--- a/src/main/java/grebewick/lab/fleet/PolledNameService.java
+++ b/src/main/java/grebewick/lab/fleet/PolledNameService.java
@@ -26,7 +26,7 @@
     }
 
     @Override
-    public void publish(List<Host> now) throws Exception {
+    public void publish(List<Host> now, FleetPlan plan) throws Exception {
         hosts = List.copyOf(now);
         Futures.onLoop(vertx, () -> {
             names.list(hosts);
