--- a/src/main/java/grebewick/lab/fleet/HollowFleet.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleet.java
@@ -138,7 +138,8 @@
                 int until = (i + 1) * count / workers;
                 processes.add(new WorkerProcess(heapMb,
                     List.of("--distribution=" + distribution, "--machines=" + String.join(",", addresses),
-                        "--first=" + from, "--gatekeepers=" + (until - from), "--listed=" + listed, "--services=" + plan.services(), "--called=" + plan.called(), "--in-use=" + inUse,
+                        "--first=" + from, "--gatekeepers=" + (until - from), "--listed=" + listed,
+                        "--services=" + plan.services(), "--called=" + plan.called(), "--in-use=" + inUse,
                         "--spread-ms=" + spreadMs, "--loops=" + loops, "--most-seconds=" + 8 * PATIENCE_S)));
             }
             meter = new TrafficMeter(control, machines.size());
@@ -236,7 +237,8 @@
         }
 
         private List<Holders> heldByAll(WorkerReport report, Map<Long, Integer> made) {
-            return report.changes().stream().filter(c -> made.containsKey(c.startedUs()) && c.holders() >= made.get(c.startedUs())).toList();
+            return report.changes().stream()
+                .filter(c -> made.containsKey(c.startedUs()) && c.holders() >= made.get(c.startedUs())).toList();
         }
 
         private WorkerReport report() throws IOException {
--- a/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
@@ -116,7 +116,8 @@
             int delayMs = 1 + random.nextInt(Math.max(1, spreadMs));
             Context context = ((VertxInternal) vertx).createEventLoopContext();
             context.runOnContext(v -> {
-                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, name, distribution.listedFor(plan, number), inUse, addresses, plan.zonesOf(number),
+                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, name, distribution.listedFor(plan, number),
+                    inUse, addresses, plan.zonesOf(number),
                     distribution.sources(), clock, times);
                 vertx.setTimer(delayMs, t -> gatekeeper.start());
                 made.complete(gatekeeper);
--- a/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
+++ b/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
@@ -46,7 +46,8 @@
      * @param zones of the services that it calls
      * @param inUse servers that it works with at the most
      */
-    HollowGatekeeper(Vertx vertx, Settings settings, String name, int listed, int inUse, List<Address> controlMachines, List<String> zones,
+    HollowGatekeeper(Vertx vertx, Settings settings, String name, int listed, int inUse, List<Address> controlMachines,
+                     List<String> zones,
                      ServerListSource.Factory sources, Clock clock, ChangeTimes times) {
         this.clock = clock;
         this.times = times;
