Lab: ProbedGatekeeper runs with the service's event loop or Netty's own

So that what whole milliseconds and the round of reads cost a call can be told apart by measurement.

--- a/src/main/java/grebewick/lab/LatencyBench.java
+++ b/src/main/java/grebewick/lab/LatencyBench.java
@@ -1,5 +1,7 @@
 package grebewick.lab;
 
+import grebewick.lab.ProbedGatekeeper.LoopKind;
+import grebewick.lab.ProbedGatekeeper.TimerStep;
 import grebewick.lab.measure.MachineState;
 import grebewick.lab.measure.ProcessSample;
 import grebewick.lab.measure.ResultTable;
@@ -37,9 +39,11 @@
         DIRECT,
         /** The process of the command line. */
         GATEKEEPER,
-        /** {@link ProbedGatekeeper} with timers of whole milliseconds. */
+        /** {@link ProbedGatekeeper} with the service's event loop. */
         PROBED,
-        /** {@link ProbedGatekeeper} with timers of microseconds. */
+        /** {@link ProbedGatekeeper} with Netty's event loop and timers of whole milliseconds. */
+        PROBED_NETTY,
+        /** {@link ProbedGatekeeper} with Netty's event loop and timers of microseconds. */
         PROBED_MICROSECONDS
     }
 
@@ -180,7 +184,7 @@
         }
         return List.of(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC", "-Xmx64m",
             "-XX:TieredStopAtLevel=1", "-Dio.netty.jfr.enabled=false", "-cp", System.getProperty("java.class.path"),
-            ProbedGatekeeper.class.getName(), "--timers=" + (way == Way.PROBED ? ProbedGatekeeper.TimerStep.MILLISECOND
-                : ProbedGatekeeper.TimerStep.MICROSECOND));
+            ProbedGatekeeper.class.getName(), "--loop=" + (way == Way.PROBED ? LoopKind.SERVICE : LoopKind.NETTY),
+            "--timers=" + (way == Way.PROBED_MICROSECONDS ? TimerStep.MICROSECOND : TimerStep.MILLISECOND));
     }
 }
--- a/src/main/java/grebewick/lab/ProbedGatekeeper.java
+++ b/src/main/java/grebewick/lab/ProbedGatekeeper.java
@@ -9,6 +9,8 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.Logic;
 import grebewick.core.Timers;
+import grebewick.eventloop.AfterReadQueue;
+import grebewick.eventloop.BoundedAcceptor;
 import grebewick.names.FleetPoller;
 import grebewick.sip.SipFront;
 import grebewick.trunk.Trunk;
@@ -30,17 +32,29 @@
 /**
  * A gatekeeper of the real parts with probes at their seams, to say where the time of a call goes: how long the module
  * holds a call before its first attempt, how late timers come, how long chosen attempts wait for input that is there.
- * Its event loop is Netty's own, without the gatekeeper's handler for whole milliseconds and rounds of reads; so its
- * difference from the real process is what those cost. Not for service.
+ * Its event loop can be Netty's own, with timers of a millisecond or of a microsecond: the difference is what the service's
+ * loop costs. Not for service.
  */
 @Command(name = "ProbedGatekeeper", mixinStandardHelpOptions = true)
 public final class ProbedGatekeeper implements Callable<Integer> {
+    /** What the event loop is. */
+    enum LoopKind {
+        /** As in service: it sleeps whole milliseconds, and attempts wait for input that is there. */
+        SERVICE,
+        /** Netty's own. */
+        NETTY
+    }
+
     /** Smallest step of timers. */
     enum TimerStep { MILLISECOND, MICROSECOND }
 
     @Option(names = "--timers", defaultValue = "MILLISECOND", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
     private TimerStep timerStep;
 
+    @Option(names = "--loop", defaultValue = "SERVICE", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
+    private LoopKind loopKind;
+
+    private final Histogram afterInputUs = new Histogram(CallTimes.MOST_US, 3);
     private final Histogram heldUs = new Histogram(CallTimes.MOST_US, 3);
     private final Histogram lateUs = new Histogram(CallTimes.MOST_US, 3);
     private final Map<Long, Long> offeredUs = new HashMap<>();
@@ -57,18 +71,21 @@
     @Override
     public Integer call() throws Exception {
         NodeConfig config = NodeConfig.load(System.getenv());
-        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        VertxOptions options = new VertxOptions().setEventLoopPoolSize(1);
+        AfterReadQueue reads = new AfterReadQueue();
+        Vertx vertx = loopKind == LoopKind.NETTY ? Vertx.vertx(options)
+            : Vertx.builder().with(options).withTransport(new BoundedAcceptor(config.sockets() / 2, reads)).build();
         Runtime.getRuntime().addShutdownHook(new Thread(this::report));
         return Futures.onLoop(vertx, () -> {
-            start(vertx, config);
+            Timers plain = timers(vertx, ((ContextInternal) vertx.getOrCreateContext()).nettyEventLoop());
+            start(vertx, config, probed(loopKind == LoopKind.NETTY ? plain : reads.timers(vertx, vertx.getOrCreateContext())));
             return 0;
         });
     }
 
-    private void start(Vertx vertx, NodeConfig config) {
+    private void start(Vertx vertx, NodeConfig config, Timers timers) {
         long zeroUs = System.currentTimeMillis() * 1000 - Pacer.nowUs();
         Clock clock = () -> zeroUs + Pacer.nowUs();
-        Timers timers = probed(vertx, ((ContextInternal) vertx.getOrCreateContext()).nettyEventLoop());
         Consumer<String> log = System.err::println;
         Trunk trunk = new Trunk(vertx, config.settings(), config.sockets() / 2, clock, timers, log);
         Gatekeeper<byte[]> core = new Gatekeeper<>(config.settings(), probed(new Logic(config.settings(), config.seed())), clock,
@@ -87,22 +104,39 @@
         trunk.recall();
     }
 
-    private Timers probed(Vertx vertx, EventLoop loop) {
+    private Timers timers(Vertx vertx, EventLoop loop) {
         return (us, task) -> {
-            long dueUs = Pacer.nowUs() + us;
-            Runnable probed = () -> {
-                lateUs.recordValue(Math.max(0, Pacer.nowUs() - dueUs));
-                task.run();
-            };
             if (timerStep == TimerStep.MILLISECOND) {
-                long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> probed.run());
+                long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
                 return () -> vertx.cancelTimer(id);
             }
-            var scheduled = loop.schedule(probed, Math.max(1, us), TimeUnit.MICROSECONDS);
+            var scheduled = loop.schedule(task, Math.max(1, us), TimeUnit.MICROSECONDS);
             return () -> scheduled.cancel(false);
         };
     }
 
+    private Timers probed(Timers timers) {
+        return new Timers() {
+            @Override
+            public Runnable after(long us, Runnable task) {
+                long dueUs = Pacer.nowUs() + us;
+                return timers.after(us, () -> {
+                    lateUs.recordValue(Math.max(0, Pacer.nowUs() - dueUs));
+                    task.run();
+                });
+            }
+
+            @Override
+            public void afterInput(Runnable task) {
+                long sinceUs = Pacer.nowUs();
+                timers.afterInput(() -> {
+                    afterInputUs.recordValue(Pacer.nowUs() - sinceUs);
+                    task.run();
+                });
+            }
+        };
+    }
+
     private CallControl probed(CallControl module) {
         return (nowUs, event, out) -> {
             long offered = event instanceof CallControl.Call call ? call.call() : 0;
@@ -123,9 +157,10 @@
     }
 
     private void report() {
-        System.out.println("probes, timers of a " + timerStep + ": first attempts " + heldUs.getTotalCount()
-            + ", chosen in the turn of the call "
-            + atOnce + "; held by the module, us: " + text(heldUs) + "; timers late, us: " + text(lateUs));
+        System.out
+            .println("probes, loop " + loopKind + ", timers of a " + timerStep + ": first attempts " + heldUs.getTotalCount()
+                + ", chosen in the turn of the call " + atOnce + "; held by the module, us: " + text(heldUs)
+                + "; waited for input, us: " + text(afterInputUs) + "; timers late, us: " + text(lateUs));
     }
 
     private static String text(Histogram h) {
--- a/src/main/java/grebewick/lab/fleet/HollowFleet.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleet.java
@@ -12,8 +12,8 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import picocli.CommandLine;
@@ -48,7 +48,7 @@
     @Option(names = "--called", defaultValue = "20", description = "services of a gatekeeper (${DEFAULT-VALUE})")
     private int called;
 
-    @Option(names = "--machines", defaultValue = "12", description = "control machines to ask, where a way has any (${DEFAULT-VALUE})")
+    @Option(names = "--machines", defaultValue = "12", description = "control machines to ask (${DEFAULT-VALUE})")
     private int machineCount;
 
     @Option(names = "--workers", defaultValue = "2", description = "processes that hold them (${DEFAULT-VALUE})")
