JSON reading to package grebewick.json, settings to config.SettingsReader

Cause: config, diameter and acme imported the simulator's adapter. Change: Codec.parse becomes JsonReader, Fields moves, both with JsonException; Codec.settings becomes SettingsReader; the adapter turns a JsonException of a batch into its WireException with the same text. A text that is not JSON is now named (config, diameter) instead of called a batch.

--- a/src/main/java/grebewick/acme/AcmeConfig.java
+++ b/src/main/java/grebewick/acme/AcmeConfig.java
@@ -1,8 +1,8 @@
 package grebewick.acme;
 
-import grebewick.benchlink.Fields;
 import grebewick.config.Address;
 import grebewick.config.BadConfig;
+import grebewick.json.Fields;
 import java.nio.file.Path;
 
 /**
--- a/src/main/java/grebewick/benchlink/Codec.java
+++ b/src/main/java/grebewick/benchlink/Codec.java
@@ -1,37 +1,24 @@
 package grebewick.benchlink;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import grebewick.core.CallControl.Action;
 import grebewick.core.CallControl.AskLoad;
 import grebewick.core.CallControl.Attempt;
-import grebewick.core.CallControl.Blend;
-import grebewick.core.CallControl.Bounds;
 import grebewick.core.CallControl.Call;
 import grebewick.core.CallControl.Checked;
-import grebewick.core.CallControl.Clients;
 import grebewick.core.CallControl.Close;
 import grebewick.core.CallControl.Due;
 import grebewick.core.CallControl.Event;
-import grebewick.core.CallControl.FamilyInfo;
-import grebewick.core.CallControl.Fees;
 import grebewick.core.CallControl.Fetch;
 import grebewick.core.CallControl.Fleet;
-import grebewick.core.CallControl.Grade;
 import grebewick.core.CallControl.Hangup;
 import grebewick.core.CallControl.NeighbourSays;
 import grebewick.core.CallControl.Observe;
-import grebewick.core.CallControl.Realm;
 import grebewick.core.CallControl.Refuse;
 import grebewick.core.CallControl.Remind;
-import grebewick.core.CallControl.Report;
 import grebewick.core.CallControl.Result;
-import grebewick.core.CallControl.Rules;
 import grebewick.core.CallControl.Scope;
 import grebewick.core.CallControl.ServerEntry;
-import grebewick.core.CallControl.Settings;
 import grebewick.core.CallControl.Signal;
 import grebewick.core.CallControl.Stage;
 import grebewick.core.CallControl.Started;
@@ -39,71 +26,18 @@
 import grebewick.core.CallControl.Surrender;
 import grebewick.core.CallControl.Trace;
 import grebewick.core.CallControl.Withdraw;
+import grebewick.json.Fields;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /** Turns wire messages into events and settings, and actions into wire messages. Translates only. */
-public final class Codec {
-    private static final JsonFactory JSON = new JsonFactory();
-
+final class Codec {
     private final Map<Long, List<ServerEntry>> tables = new HashMap<>();
 
-    /** Reads one JSON value of a line into maps, lists, strings, numbers and booleans. */
-    public static Object parse(String line) {
-        try (JsonParser parser = JSON.createParser(line)) {
-            parser.nextToken();
-            Object value = value(parser);
-            if (parser.nextToken() != null) {
-                throw new WireException("batch: more than one value on a line");
-            }
-            return value;
-        } catch (IOException e) {
-            throw new WireException("batch: the line is not JSON");
-        }
-    }
-
-    private static Object value(JsonParser parser) throws IOException {
-        JsonToken token = parser.currentToken();
-        if (token == null) {
-            throw new WireException("batch: the line is empty");
-        }
-        switch (token) {
-            case START_OBJECT: {
-                Map<String, Object> object = new LinkedHashMap<>();
-                while (parser.nextToken() == JsonToken.FIELD_NAME) {
-                    String name = parser.currentName();
-                    parser.nextToken();
-                    object.put(name, value(parser));
-                }
-                return object;
-            }
-            case START_ARRAY: {
-                List<Object> array = new ArrayList<>();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    array.add(value(parser));
-                }
-                return array;
-            }
-            case VALUE_NUMBER_INT:
-                return parser.getLongValue();
-            case VALUE_NUMBER_FLOAT:
-                return parser.getDoubleValue();
-            case VALUE_TRUE:
-                return Boolean.TRUE;
-            case VALUE_FALSE:
-                return Boolean.FALSE;
-            case VALUE_NULL:
-                return null;
-            default:
-                return parser.getText();
-        }
-    }
-
     /** Keeps a numbered list for the {@code Fleet} events that follow it. */
     void ledger(Fields f) {
         List<ServerEntry> entries = new ArrayList<>();
@@ -193,78 +127,6 @@
         };
     }
 
-    /** The settings, as {@code Launch} and a gatekeeper's configuration give them; unknown keys are skipped. */
-    public static Settings settings(Fields o) {
-        List<Grade> grades = new ArrayList<>();
-        o.neededList("Grades");
-        for (Fields g : o.objects("Grades")) {
-            grades.add(new Grade(g.string("Name"), g.string("DedupScope", "all"), g.string("Effect", "retryable"),
-                g.integer("GoalTime"), g.integer("HardLimit"), g.number("LateValue", 0), g.flag("Stream"),
-                g.integer("Window", 0), g.number("Worth", 1), g.number("AimStretch", 0)));
-        }
-        List<Realm> realms = new ArrayList<>();
-        for (Fields r : o.objects("Realms")) {
-            realms.add(new Realm(r.string("Name"), r.number("AllowancePerS", 0), r.number("Share", 0)));
-        }
-        return new Settings(blend(part(o, "Blend")), bounds(o.object("Bounds")),
-            new Clients(part(o, "Clients").flag("MarksRetry")), o.string("Family", ""),
-            familyInfo(o.object("FamilyInfo")), fees(part(o, "Fees")), o.strings("Flavors"), grades,
-            (int) o.integer("Me", 0), o.number("OverShareWorth", 1), o.integer("Period", 0), realms,
-            o.string("RegistryMode", "push"), (int) o.integer("ReplicasOfMe"), report(part(o, "Report")),
-            rules(o.object("Rules")), (int) o.integer("Stage", 0), o.strings("Tiers"),
-            o.string("WeightSource", "off"), o.string("WorthBy", "request"), o.string("Zone", ""),
-            o.strings("Zones"));
-    }
-
-    private static Fields part(Fields o, String name) {
-        return o.has(name) ? o.object(name) : new Fields(o.message() + "." + name, Map.of());
-    }
-
-    private static Blend blend(Fields f) {
-        return new Blend(f.number("Whole", 1), f.number("WorstClass", 0), f.number("WorstTenant", 0),
-            f.number("WorstWindow", 0));
-    }
-
-    private static Bounds bounds(Fields f) {
-        return new Bounds((int) f.integer("AttemptsCap"), f.flag("Cancel"), f.integer("ConnectTimeout", 0),
-            f.number("CpuUsPerRequest", 0), f.integer("CpuUsPerS", 0), f.integer("IdleClose", 0),
-            (int) f.integer("MaxOpen", Integer.MAX_VALUE), f.integer("MaxRetryAfter", 0), f.flag("Peers"),
-            f.flag("Probes"), f.flag("RetryAfter"), f.flag("SecondCopies"), (int) f.integer("StreamsPerConn", 1));
-    }
-
-    private static FamilyInfo familyInfo(Fields f) {
-        List<Long> holds = new ArrayList<>();
-        for (double hold : f.numbers("MeanHold")) {
-            holds.add((long) hold);
-        }
-        List<List<Integer>> pools = new ArrayList<>();
-        for (Object row : f.list("PoolsByClass")) {
-            List<Integer> numbers = new ArrayList<>();
-            for (double n : new Fields(f.message(), Map.of("PoolsByClass", row)).numbers("PoolsByClass")) {
-                numbers.add((int) n);
-            }
-            pools.add(numbers);
-        }
-        return new FamilyInfo(f.string("FarState", "off"), f.flag("HintsRoute"), (int) f.integer("HomeNo", -1),
-            holds, pools, f.integer("Release", 0), f.integer("Resend", 0), f.flag("RetryHint"),
-            f.string("Shape"), f.numbers("Widths"));
-    }
-
-    private static Fees fees(Fields f) {
-        return new Fees(f.number("Connection", 0), f.number("CrossZone", 0), f.number("Handshake", 0),
-            f.number("LateFail", 0), f.number("Moves", 0), f.number("Origin", 0), f.number("Peer", 0),
-            f.number("Probe", 0), f.number("RegistryMode", 0), f.number("Waste", 0));
-    }
-
-    private static Report report(Fields f) {
-        return new Report(f.strings("Fields"), f.string("How", "off"));
-    }
-
-    private static Rules rules(Fields f) {
-        return new Rules(f.integer("AnswerSlack", 0), f.integer("AskWithin", 0), f.integer("Cold"),
-            f.number("ColdFrom"), f.integer("DrainGrace"), f.integer("Fall"), f.number("OverloadFactor"));
-    }
-
     /** Writes one action of an instance. */
     static void write(JsonGenerator out, String gatewayId, Action action) throws IOException {
         if (action instanceof Attempt a) {
--- a/src/main/java/grebewick/benchlink/Loop.java
+++ b/src/main/java/grebewick/benchlink/Loop.java
@@ -2,9 +2,12 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import grebewick.config.SettingsReader;
 import grebewick.core.CallControl;
 import grebewick.core.CallControl.Event;
 import grebewick.core.CallControl.Settings;
+import grebewick.json.Fields;
+import grebewick.json.JsonException;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.StringWriter;
@@ -34,9 +37,20 @@
         }
     }
 
-    /** The reply to one batch. */
+    /**
+     * The reply to one batch.
+     *
+     * @throws WireException where the batch is not the wire's
+     */
     String reply(String line) throws IOException {
-        Fields batch = new Fields("batch", Fields.asObject("batch: the line", Codec.parse(line)));
+        try {
+            return reply(Fields.parse("batch", line));
+        } catch (JsonException e) {
+            throw new WireException(e);
+        }
+    }
+
+    private String reply(Fields batch) throws IOException {
         long nowUs = batch.integer("T");
         StringWriter text = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(text)) {
@@ -67,7 +81,7 @@
             return;
         }
         if (message.message().equals("Launch")) {
-            Settings settings = Codec.settings(message.object("Options"));
+            Settings settings = SettingsReader.read(message.object("Options"));
             long seed = message.integer("RandomSeed");
             guarded(id, json, () -> instances.put(id, maker.apply(settings, seed)));
             return;
--- a/src/main/java/grebewick/config/NodeConfig.java
+++ b/src/main/java/grebewick/config/NodeConfig.java
@@ -1,13 +1,12 @@
 package grebewick.config;
 
-import grebewick.benchlink.Codec;
-import grebewick.benchlink.Fields;
-import grebewick.benchlink.WireException;
 import grebewick.core.CallControl.FamilyInfo;
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Settings;
 import grebewick.core.CallControl.Stage;
 import grebewick.core.Logic;
+import grebewick.json.Fields;
+import grebewick.json.JsonException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -44,7 +43,7 @@
     /** Reads the text of a file. */
     public static NodeConfig parse(String text, Map<String, String> env) {
         try {
-            Fields f = new Fields("config", Fields.asObject("config", Codec.parse(text)));
+            Fields f = Fields.parse("config", text);
             String listen = env.getOrDefault("RELAY_LISTEN", f.string("listen", ""));
             List<Address> peers = f.strings("peers").stream().map(Address::parse).toList();
             Map<String, Endpoint> known = new LinkedHashMap<>();
@@ -52,7 +51,7 @@
             for (Fields update : updates(news)) {
                 apply(known, update);
             }
-            Settings settings = margins(Codec.settings(f.object("settings")));
+            Settings settings = margins(SettingsReader.read(f.object("settings")));
             // Refuses here, before anything is opened or changed, what the decisions cannot work with.
             new Logic(settings, 0);
             return new NodeConfig(env.getOrDefault("RELAY_NAME", f.string("name", "gatekeeper")),
@@ -61,7 +60,7 @@
                 news.integer("index", 0), List.copyOf(known.values()),
                 f.has("limits") ? (int) f.object("limits").integer("sockets", SOCKETS) : SOCKETS,
                 settings);
-        } catch (WireException | IllegalArgumentException e) {
+        } catch (JsonException | IllegalArgumentException e) {
             throw new BadConfig("RELAY_CONFIG: " + e.getMessage());
         }
     }
--- a/src/main/java/grebewick/diameter/DiameterConfig.java
+++ b/src/main/java/grebewick/diameter/DiameterConfig.java
@@ -1,13 +1,13 @@
 package grebewick.diameter;
 
 import grebewick.acme.AcmeConfig;
-import grebewick.benchlink.Codec;
-import grebewick.benchlink.Fields;
-import grebewick.benchlink.WireException;
 import grebewick.config.Address;
 import grebewick.config.BadConfig;
+import grebewick.config.SettingsReader;
 import grebewick.core.CallControl.Settings;
 import grebewick.core.Logic;
+import grebewick.json.Fields;
+import grebewick.json.JsonException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -38,8 +38,8 @@
 
     static DiameterConfig parse(String text) {
         try {
-            Fields f = new Fields("diameter", Fields.asObject("diameter", Codec.parse(text)));
-            Settings settings = Codec.settings(f.object("settings"));
+            Fields f = Fields.parse("diameter", text);
+            Settings settings = SettingsReader.read(f.object("settings"));
             new Logic(settings, 0);
             long watchdogMs = f.integer("watchdog_ms", 30_000);
             if (watchdogMs < LEAST_WATCHDOG_MS) {
@@ -52,7 +52,7 @@
                 f.integer("request_ms", 9_000) * 1000, watchdogMs * 1000, f.integer("jitter_ms", 2_000) * 1000,
                 f.integer("reconnect_ms", 30_000) * 1000, peers, settings,
                 f.has("acme") ? AcmeConfig.read(f.object("acme")) : null);
-        } catch (WireException | IllegalArgumentException | IndexOutOfBoundsException e) {
+        } catch (JsonException | IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new BadConfig("diameter: " + e.getMessage());
         }
     }
--- a/src/main/java/grebewick/benchlink/Fields.java
+++ b/src/main/java/grebewick/json/Fields.java
@@ -1,4 +1,4 @@
-package grebewick.benchlink;
+package grebewick.json;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,6 +7,11 @@
 /** The fields of one message, read by name and type; what is missing or of the wrong type is named. */
 public record Fields(String message, Map<String, Object> values) {
 
+    /** Reads a text that is one object; {@code message} names it in errors. */
+    public static Fields parse(String message, String text) {
+        return new Fields(message, asObject(message, JsonReader.parse(message, text)));
+    }
+
     public boolean has(String name) {
         return values.get(name) != null;
     }
@@ -14,10 +19,10 @@
     private <T> T need(String name, Class<T> type) {
         Object value = values.get(name);
         if (value == null) {
-            throw new WireException(message + ": field " + name + " is missing");
+            throw new JsonException(message + ": field " + name + " is missing");
         }
         if (!type.isInstance(value)) {
-            throw new WireException(message + ": field " + name + " is not of the expected type");
+            throw new JsonException(message + ": field " + name + " is not of the expected type");
         }
         return type.cast(value);
     }
@@ -71,7 +76,7 @@
         List<Double> result = new ArrayList<>();
         for (Object o : list(name)) {
             if (!(o instanceof Number n)) {
-                throw new WireException(message + ": field " + name + " holds something other than numbers");
+                throw new JsonException(message + ": field " + name + " holds something other than numbers");
             }
             result.add(n.doubleValue());
         }
@@ -93,7 +98,7 @@
     @SuppressWarnings("unchecked")
     public static Map<String, Object> asObject(String what, Object value) {
         if (!(value instanceof Map)) {
-            throw new WireException(what + " is not an object");
+            throw new JsonException(what + " is not an object");
         }
         return (Map<String, Object>) value;
     }
--- a/src/test/java/grebewick/play/Sites.java
+++ b/src/test/java/grebewick/play/Sites.java
@@ -1,10 +1,10 @@
 package grebewick.play;
 
-import grebewick.benchlink.Codec;
-import grebewick.benchlink.Fields;
+import grebewick.config.SettingsReader;
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Settings;
 import grebewick.core.CallControl.Stage;
+import grebewick.json.Fields;
 import java.util.Map;
 
 /** Settings and list entries for scenarios: two pools, aim 2 s, release 500 ms. */
@@ -24,7 +24,7 @@
     }
 
     public static Settings settings(String json) {
-        return Codec.settings(new Fields("settings", Fields.asObject("settings", Codec.parse(json))));
+        return SettingsReader.read(Fields.parse("settings", json));
     }
 
     public static ServerEntry entry(String id, int place, Stage stage, long launchedUs) {
