--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -1,6 +1,6 @@
 package grebewick;
 
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.config.NodeConfig;
 import grebewick.core.CallControl.Grade;
 import grebewick.core.CallControl.Settings;
@@ -100,7 +100,7 @@
         try {
             NodeConfig next = NodeConfig.load(env);
             vertx.runOnContext(v -> node.reload(next));
-        } catch (BadConfig e) {
+        } catch (ConfigurationException e) {
             log("SIGHUP: the old configuration stays: " + e.getMessage());
         }
     }
--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -1,7 +1,7 @@
 package grebewick;
 
 import grebewick.benchlink.Adapter;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.config.NodeConfig;
 import grebewick.diameter.DiameterConfig;
 import grebewick.lifecycle.ClassArchiveTraining;
@@ -27,7 +27,7 @@
                     // With a Diameter file alone there is no platform, and so no configuration of one.
                     Daemon.start(diameter != null && !env.containsKey("RELAY_CONFIG") ? null : NodeConfig.load(env),
                         diameter == null ? null : DiameterConfig.load(diameter), env, reload);
-                } catch (BadConfig e) {
+                } catch (ConfigurationException e) {
                     System.err.println("grebewick: " + e.getMessage());
                     System.exit(2);
                 }
--- a/src/main/java/grebewick/acme/AcmeConfig.java
+++ b/src/main/java/grebewick/acme/AcmeConfig.java
@@ -1,7 +1,7 @@
 package grebewick.acme;
 
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.json.Fields;
 import java.nio.file.Path;
 
@@ -13,7 +13,7 @@
     /** Reads the object {@code acme} of a front's file. */
     public static AcmeConfig read(Fields f) {
         if (!f.flag("agreed")) {
-            throw new BadConfig("acme: field agreed must be true, as the authority's terms bind");
+            throw new ConfigurationException("acme: field agreed must be true, as the authority's terms bind");
         }
         return new AcmeConfig(f.string("directory"), f.string("domain"), Address.parse(f.string("challenges")),
             Path.of(f.string("folder")), true);
--- a/src/main/java/grebewick/config/Address.java
+++ b/src/main/java/grebewick/config/Address.java
@@ -15,7 +15,7 @@
         } catch (NumberFormatException e) {
             // Said below, with the text.
         }
-        throw new BadConfig("'" + text + "' is not host:port");
+        throw new ConfigurationException("'" + text + "' is not host:port");
     }
 
     /** The address as Vert.x wants it. */
--- a/src/main/java/grebewick/config/NodeConfig.java
+++ b/src/main/java/grebewick/config/NodeConfig.java
@@ -29,13 +29,13 @@
     public static NodeConfig load(Map<String, String> env) {
         String path = env.get("RELAY_CONFIG");
         if (path == null || path.isBlank()) {
-            throw new BadConfig("RELAY_CONFIG is not set");
+            throw new ConfigurationException("RELAY_CONFIG is not set");
         }
         String text;
         try {
             text = Files.readString(Path.of(path));
         } catch (IOException | RuntimeException e) {
-            throw new BadConfig("RELAY_CONFIG: cannot read the file");
+            throw new ConfigurationException("RELAY_CONFIG: cannot read the file");
         }
         return parse(text, env);
     }
@@ -61,7 +61,7 @@
                 f.has("limits") ? (int) f.object("limits").integer("sockets", SOCKETS) : SOCKETS,
                 settings);
         } catch (JsonException | IllegalArgumentException e) {
-            throw new BadConfig("RELAY_CONFIG: " + e.getMessage());
+            throw new ConfigurationException("RELAY_CONFIG: " + e.getMessage());
         }
     }
 
--- a/src/main/java/grebewick/diameter/DiameterConfig.java
+++ b/src/main/java/grebewick/diameter/DiameterConfig.java
@@ -2,7 +2,7 @@
 
 import grebewick.acme.AcmeConfig;
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.config.SettingsReader;
 import grebewick.core.CallControl.Settings;
 import grebewick.core.Logic;
@@ -32,7 +32,7 @@
         try {
             return parse(Files.readString(Path.of(path)));
         } catch (IOException e) {
-            throw new BadConfig("RELAY_DIAMETER: cannot read the file");
+            throw new ConfigurationException("RELAY_DIAMETER: cannot read the file");
         }
     }
 
@@ -43,7 +43,7 @@
             new Logic(settings, 0);
             long watchdogMs = f.integer("watchdog_ms", 30_000);
             if (watchdogMs < LEAST_WATCHDOG_MS) {
-                throw new BadConfig("diameter: field watchdog_ms is under " + LEAST_WATCHDOG_MS);
+                throw new ConfigurationException("diameter: field watchdog_ms is under " + LEAST_WATCHDOG_MS);
             }
             List<Peer> peers = f.objects("peers").stream().map(p -> new Peer(p.string("host"),
                 Address.parse(p.string("address")), (int) p.integer("group", 0), p.string("zone", ""))).toList();
@@ -53,7 +53,7 @@
                 f.integer("reconnect_ms", 30_000) * 1000, peers, settings,
                 f.has("acme") ? AcmeConfig.read(f.object("acme")) : null);
         } catch (JsonException | IllegalArgumentException | IndexOutOfBoundsException e) {
-            throw new BadConfig("diameter: " + e.getMessage());
+            throw new ConfigurationException("diameter: " + e.getMessage());
         }
     }
 }
--- a/src/test/java/grebewick/config/NodeConfigTest.java
+++ b/src/test/java/grebewick/config/NodeConfigTest.java
@@ -59,11 +59,11 @@
         for (String bad : new String[] {"{", "[]", FILE.replace("127.0.0.4:5070", "nowhere"), FILE.replace("Grades", "G"),
             FILE.replace("ffffffffffffffff", "xyz"),
             FILE.replace("\"GoalTime\":2000000", "\"GoalTime\":0"), FILE.replace("\"ReplicasOfMe\":1", "\"ReplicasOfMe\":0")}) {
-            assertThatThrownBy(() -> NodeConfig.parse(bad, Map.of())).isInstanceOf(BadConfig.class)
+            assertThatThrownBy(() -> NodeConfig.parse(bad, Map.of())).isInstanceOf(ConfigurationException.class)
                 .message().isNotBlank().doesNotContain("\n");
         }
         assertThatThrownBy(() -> NodeConfig.load(Map.of())).hasMessage("RELAY_CONFIG is not set");
-        assertThatThrownBy(() -> DiameterConfig.load("no/such/file")).isInstanceOf(BadConfig.class);
+        assertThatThrownBy(() -> DiameterConfig.load("no/such/file")).isInstanceOf(ConfigurationException.class);
     }
 
     @Test
