--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -8,9 +8,9 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Timers;
-import grebewick.owed.Policy;
-import grebewick.owed.Teller;
-import grebewick.owed.Ways;
+import grebewick.teardown.RetryPolicy;
+import grebewick.teardown.TeardownRoutes;
+import grebewick.teardown.TeardownSender;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -55,7 +55,7 @@
         }
     };
     /** ASRs, by session: each goes to its own client, and waits for it for as long as the session is remembered. */
-    private final Teller<Session, DiameterMessage, Connection> owed;
+    private final TeardownSender<Session, DiameterMessage, Connection> owed;
     private long nextOffer = 1;
     private int nextEndToEnd;
     private boolean stopping;
@@ -70,7 +70,8 @@
         this.log = log;
         this.nextEndToEnd = (int) (clock.nowUs() >> 4);
         long keptUs = config.requestUs();
-        owed = new Teller<>(new Policy(keptUs, 1, keptUs, keptUs, MOST_OWED), new ToClients(), clock, timers, SWEEP_US);
+        owed = new TeardownSender<>(new RetryPolicy(keptUs, 1, keptUs, keptUs, MOST_OWED), new ToClients(), clock, timers,
+            SWEEP_US);
         owed.start();
     }
 
@@ -303,7 +304,7 @@
     }
 
     /** A session's end is told to its own client alone, on any of its connections. */
-    private final class ToClients implements Ways<Session, DiameterMessage, Connection> {
+    private final class ToClients implements TeardownRoutes<Session, DiameterMessage, Connection> {
         @Override
         public Connection best(Session s, Connection but) {
             for (Connection c : connections) {
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -13,9 +13,9 @@
 import grebewick.core.Offer;
 import grebewick.core.Servers;
 import grebewick.core.Timers;
-import grebewick.owed.Policy;
-import grebewick.owed.Teller;
-import grebewick.owed.Ways;
+import grebewick.teardown.RetryPolicy;
+import grebewick.teardown.TeardownRoutes;
+import grebewick.teardown.TeardownSender;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
@@ -47,7 +47,7 @@
     private final Map<String, Upstream> peers = new TreeMap<>();
     private final Map<Long, Leg> legs = new HashMap<>();
     private final Map<String, Leg> bySession = new HashMap<>();
-    private final Teller<Owed, DiameterMessage, Connection> owed;
+    private final TeardownSender<Owed, DiameterMessage, Connection> owed;
     private Gatekeeper<DiameterMessage> core;
     private int nextEndToEnd;
     private boolean stopping;
@@ -59,7 +59,8 @@
         this.timers = timers;
         this.log = log;
         this.nextEndToEnd = (int) clock.nowUs();
-        owed = new Teller<>(new Policy(OWED_US, 1, OWED_US, OWED_US, MOST_OWED), new ToPeers(), clock, timers, SWEEP_US);
+        owed = new TeardownSender<>(new RetryPolicy(OWED_US, 1, OWED_US, OWED_US, MOST_OWED), new ToPeers(), clock, timers,
+            SWEEP_US);
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, config.settings().bounds().connectTimeoutUs() / 1000)));
     }
@@ -346,7 +347,7 @@
     private record Owed(Upstream at, String session) {}
 
     /** A session's end is told to its own server alone. */
-    private final class ToPeers implements Ways<Owed, DiameterMessage, Connection> {
+    private final class ToPeers implements TeardownRoutes<Owed, DiameterMessage, Connection> {
         @Override
         public Connection best(Owed key, Connection but) {
             return key.at.isOpen() && key.at.connection != but ? key.at.connection : null;
--- a/src/main/java/grebewick/sip/CallerLines.java
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -1,6 +1,6 @@
 package grebewick.sip;
 
-import grebewick.owed.Ways;
+import grebewick.teardown.TeardownRoutes;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -10,7 +10,7 @@
  * All connections from callers. Guards the descriptors against those who open connections and say nothing, or ask
  * once and stay: the servers' connections and the usual callers' need theirs.
  */
-final class CallerLines implements Ways<Long, SipMessage, CallerLine> {
+final class CallerLines implements TeardownRoutes<Long, SipMessage, CallerLine> {
     /** us. In which a new connection has to say something whole, and a message that has begun has to end. */
     static final long WORD_US = 1_800_000;
     /**
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -8,10 +8,10 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Timers;
-import grebewick.owed.Counts;
-import grebewick.owed.Policy;
-import grebewick.owed.Teller;
 import grebewick.sip.SipMessage.Header;
+import grebewick.teardown.RetryPolicy;
+import grebewick.teardown.TeardownCounts;
+import grebewick.teardown.TeardownSender;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -33,7 +33,7 @@
      * BYEs without an answer: again elsewhere after 0.3 s, three times at most; what was written has arrived within
      * 5 s or never will; one waits for a connection from callers for 60 s.
      */
-    private static final Policy BYES = new Policy(300_000, 3, 5_000_000, 60_000_000, 20_000);
+    private static final RetryPolicy BYES = new RetryPolicy(300_000, 3, 5_000_000, 60_000_000, 20_000);
     private static final long SWEEP_US = 250_000;
     /** Part of the descriptors that callers' connections may take: the usual ones take a third at the most. */
     private static final double CALLERS_PART = 0.5;
@@ -50,7 +50,7 @@
     private final Consumer<String> log;
     private final Map<Long, Session> sessions = new HashMap<>();
     private final CallerLines lines;
-    private final Teller<Long, SipMessage, CallerLine> byes;
+    private final TeardownSender<Long, SipMessage, CallerLine> byes;
     private final OfferReader offers;
     private LongPredicate strays = id -> false;
     private boolean testsPass = true;
@@ -63,7 +63,7 @@
     public SipFront(Vertx vertx, Settings set, int sockets, Gatekeeper<byte[]> core, Clock clock, Timers timers,
                     Consumer<String> log) {
         lines = new CallerLines(mostLines(sockets));
-        byes = new Teller<>(BYES, lines, clock, timers, SWEEP_US);
+        byes = new TeardownSender<>(BYES, lines, clock, timers, SWEEP_US);
         offers = new OfferReader(set);
         this.vertx = vertx;
         this.core = core;
@@ -290,7 +290,7 @@
     }
 
     /** BYEs that are owed, and what became of those before. */
-    public Counts owed() {
+    public TeardownCounts owed() {
         return byes.counts();
     }
 
--- a/src/main/java/grebewick/owed/Ledger.java
+++ b/src/main/java/grebewick/teardown/PendingTeardowns.java
@@ -1,4 +1,4 @@
-package grebewick.owed;
+package grebewick.teardown;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -14,9 +14,9 @@
 import java.util.function.Predicate;
 
 /**
- * The ends that are owed. An end is {@linkplain #owe entered} once, written by {@link #work}, and leaves when it is
- * {@linkplain #told confirmed} or its policy says so. Not thread safe: one event loop drives it. Times are
- * microseconds of one monotonic clock, handed in.
+ * The ends of calls that are yet to be told (teardown: BYE, ASR, STR). An end is {@linkplain #owe entered} once,
+ * written by {@link #work}, and leaves when it is {@linkplain #told confirmed} or its policy says so. Not thread safe:
+ * one event loop drives it. Times are microseconds of one monotonic clock, handed in.
  *
  * <pre>
  *   owe -> READY -> work: written -> SENT (tries left) or SPENT
@@ -28,14 +28,14 @@
  *
  * <p>Every step costs as much as the ends that it moves, and none looks through all that are held.
  */
-public final class Ledger<K, M, W> {
+public final class PendingTeardowns<K, M, W> {
     /** Refusals by those who do not know the call after which no other is asked. */
     private static final int MOST_DENIED = 3;
 
     private enum State { READY, STRANDED, SENT, SPENT }
 
-    private final Policy policy;
-    private final Ways<K, M, W> ways;
+    private final RetryPolicy policy;
+    private final TeardownRoutes<K, M, W> ways;
     private final Map<K, Entry<K, M, W>> all = new HashMap<>();
     /** Each in the order in which its ends came there, so that what is due comes first. */
     private final Map<State, LinkedHashMap<K, Entry<K, M, W>>> by = new EnumMap<>(State.class);
@@ -46,8 +46,8 @@
     private long lapsed;
     private long dropped;
 
-    /** An empty ledger. */
-    public Ledger(Policy policy, Ways<K, M, W> ways) {
+    /** Nothing is pending at first. */
+    public PendingTeardowns(RetryPolicy policy, TeardownRoutes<K, M, W> ways) {
         this.policy = policy;
         this.ways = ways;
         for (State state : State.values()) {
@@ -175,8 +175,9 @@
     }
 
     /** The figures. */
-    public Counts counts() {
-        return new Counts(told, again, unheard, lapsed, dropped, by.get(State.READY).size() + by.get(State.STRANDED).size(),
+    public TeardownCounts counts() {
+        return new TeardownCounts(told, again, unheard, lapsed, dropped,
+            by.get(State.READY).size() + by.get(State.STRANDED).size(),
             by.get(State.SENT).size(), by.get(State.SPENT).size());
     }
 
--- a/src/main/java/grebewick/owed/Policy.java
+++ b/src/main/java/grebewick/teardown/RetryPolicy.java
@@ -1,4 +1,4 @@
-package grebewick.owed;
+package grebewick.teardown;
 
 /**
  * How long and how often an end is told.
@@ -9,9 +9,9 @@
  * @param keptUs   us that it is kept while there is no way at all
  * @param most     ends held at once; at more, one told already is dropped first, then the eldest
  */
-public record Policy(long resendUs, int tries, long heardUs, long keptUs, int most) {
+public record RetryPolicy(long resendUs, int tries, long heardUs, long keptUs, int most) {
     /** Refuses what could never tell an end, or never forget one. */
-    public Policy {
+    public RetryPolicy {
         if (resendUs <= 0 || tries < 1 || heardUs < resendUs || keptUs <= 0 || most < 1) {
             throw new IllegalArgumentException("a policy that cannot work");
         }
--- a/src/main/java/grebewick/owed/Counts.java
+++ b/src/main/java/grebewick/teardown/TeardownCounts.java
@@ -1,7 +1,7 @@
-package grebewick.owed;
+package grebewick.teardown;
 
 /**
- * What a ledger has done since it was made, and what it holds.
+ * What {@link PendingTeardowns} has done since it was made, and what it holds.
  *
  * @param told     ends whose hearing was confirmed
  * @param again    writes beyond the first of an end
@@ -12,7 +12,8 @@
  * @param awaiting held: written, without an answer, to be told again
  * @param spent    held: written as often as is allowed, without an answer
  */
-public record Counts(long told, long again, long unheard, long lapsed, long dropped, int unsent, int awaiting, int spent) {
+public record TeardownCounts(long told, long again, long unheard, long lapsed, long dropped, int unsent, int awaiting,
+                             int spent) {
     /** Ends that something is still to be done for. */
     public int open() {
         return unsent + awaiting;
--- a/src/main/java/grebewick/owed/Ways.java
+++ b/src/main/java/grebewick/teardown/TeardownRoutes.java
@@ -1,4 +1,4 @@
-package grebewick.owed;
+package grebewick.teardown;
 
 /**
  * Port to the connections that an end may be told on.
@@ -7,7 +7,7 @@
  * @param <M> the message that tells it
  * @param <W> a connection; compared by identity
  */
-public interface Ways<K, M, W> {
+public interface TeardownRoutes<K, M, W> {
     /** Where the end is most likely to be heard, {@code but} left out (null: none left out); null: nowhere now. */
     W best(K key, W but);
 
--- a/src/test/java/grebewick/owed/LedgerTest.java
+++ b/src/test/java/grebewick/teardown/PendingTeardownsTest.java
@@ -1,4 +1,4 @@
-package grebewick.owed;
+package grebewick.teardown;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -13,12 +13,12 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** The ledger on its own: ways are names with a rank, and time is a number. */
-class LedgerTest {
-    private static final Policy POLICY = new Policy(300, 3, 5_000, 60_000, 100);
+/** Pending teardowns on their own: ways are names with a rank, and time is a number. */
+class PendingTeardownsTest {
+    private static final RetryPolicy POLICY = new RetryPolicy(300, 3, 5_000, 60_000, 100);
     private final Map<String, Integer> ranks = new LinkedHashMap<>();
     private final List<String> written = new ArrayList<>();
-    private final Ways<Integer, String, String> ways = new Ways<>() {
+    private final TeardownRoutes<Integer, String, String> ways = new TeardownRoutes<>() {
         @Override
         public String best(Integer key, String but) {
             return ranks.entrySet().stream().filter(e -> !e.getKey().equals(but))
@@ -35,29 +35,29 @@
             written.add(message + key + " " + way + (again ? " again" : ""));
         }
     };
-    private final Ledger<Integer, String, String> ledger = new Ledger<>(POLICY, ways);
+    private final PendingTeardowns<Integer, String, String> pending = new PendingTeardowns<>(POLICY, ways);
 
     private void owe(int key, String way, long nowUs) {
-        ledger.owe(key, "bye", way, nowUs);
-        ledger.work(nowUs, 10);
+        pending.owe(key, "bye", way, nowUs);
+        pending.work(nowUs, 10);
     }
 
     @Test
     void anEndWaitsForAWayAndGoesToALikelierOneUntilItIsConfirmed() {
         owe(1, null, 0);
-        assertThat(ledger.counts().unsent()).isEqualTo(1);
+        assertThat(pending.counts().unsent()).isEqualTo(1);
         ranks.put("stranger", 0);
-        ledger.found("stranger");
-        ledger.work(10, 10);
+        pending.found("stranger");
+        pending.work(10, 10);
         ranks.put("caller", 3);
-        ledger.found("caller");
-        ledger.work(20, 10);
+        pending.found("caller");
+        pending.work(20, 10);
         assertThat(written).containsExactly("bye1 stranger", "bye1 caller again");
-        ledger.denied(1, "stranger");
-        assertThat(ledger.ready()).as("who was not told last has no say").isZero();
-        assertThat(ledger.told(1)).isTrue();
-        assertThat(ledger.told(1)).isFalse();
-        assertThat(ledger.counts()).isEqualTo(new Counts(1, 1, 0, 0, 0, 0, 0, 0));
+        pending.denied(1, "stranger");
+        assertThat(pending.ready()).as("who was not told last has no say").isZero();
+        assertThat(pending.told(1)).isTrue();
+        assertThat(pending.told(1)).isFalse();
+        assertThat(pending.counts()).isEqualTo(new TeardownCounts(1, 1, 0, 0, 0, 0, 0, 0));
     }
 
     @Test
@@ -65,36 +65,36 @@
         ranks.put("a", 3);
         ranks.put("b", 2);
         owe(1, "a", 0);
-        ledger.due(299);
-        assertThat(ledger.ready()).isZero();
-        ledger.due(300);
-        ledger.work(300, 10);
-        ledger.denied(1, "b");
-        ledger.work(310, 10);
+        pending.due(299);
+        assertThat(pending.ready()).isZero();
+        pending.due(300);
+        pending.work(300, 10);
+        pending.denied(1, "b");
+        pending.work(310, 10);
         ranks.remove("a");
-        ledger.lost("a");
-        ledger.work(320, 10);
+        pending.lost("a");
+        pending.work(320, 10);
         assertThat(written).containsExactly("bye1 a", "bye1 b again", "bye1 a again", "bye1 b again");
-        ledger.due(5_319);
-        assertThat(ledger.counts().spent()).isEqualTo(1);
-        ledger.due(5_320);
-        assertThat(ledger.counts()).isEqualTo(new Counts(0, 3, 1, 0, 0, 0, 0, 0));
+        pending.due(5_319);
+        assertThat(pending.counts().spent()).isEqualTo(1);
+        pending.due(5_320);
+        assertThat(pending.counts()).isEqualTo(new TeardownCounts(0, 3, 1, 0, 0, 0, 0, 0));
         ranks.clear();
         owe(2, "a", 6_000);
-        ledger.due(66_000);
-        assertThat(ledger.counts().lapsed()).isEqualTo(1);
+        pending.due(66_000);
+        assertThat(pending.counts().lapsed()).isEqualTo(1);
     }
 
     @Test
     void aBurstIsWorkedOffInSlicesTheEldestFirst() {
         ranks.put("a", 3);
         for (int i = 0; i < 70; i++) {
-            ledger.owe(i, "bye", "a", i);
+            pending.owe(i, "bye", "a", i);
         }
-        assertThat(ledger.work(100, 32)).isTrue();
+        assertThat(pending.work(100, 32)).isTrue();
         assertThat(written).hasSize(32).startsWith("bye0 a", "bye1 a").endsWith("bye31 a");
-        assertThat(ledger.work(101, 32)).isTrue();
-        assertThat(ledger.work(102, 32)).isFalse();
+        assertThat(pending.work(101, 32)).isTrue();
+        assertThat(pending.work(102, 32)).isFalse();
         assertThat(written).hasSize(70);
     }
 
@@ -106,12 +106,12 @@
         for (int i = 1; i < 101; i++) {
             owe(i, null, i);
         }
-        assertThat(ledger.told(0)).as("the one that was written").isFalse();
-        assertThat(ledger.counts().dropped()).isEqualTo(1);
+        assertThat(pending.told(0)).as("the one that was written").isFalse();
+        assertThat(pending.counts().dropped()).isEqualTo(1);
         owe(101, null, 101);
-        assertThat(ledger.told(1)).as("the eldest").isFalse();
-        assertThat(ledger.counts().unsent()).isEqualTo(100);
-        assertThatThrownBy(() -> new Policy(1, 0, 1, 1, 1)).isInstanceOf(IllegalArgumentException.class);
+        assertThat(pending.told(1)).as("the eldest").isFalse();
+        assertThat(pending.counts().unsent()).isEqualTo(100);
+        assertThatThrownBy(() -> new RetryPolicy(1, 0, 1, 1, 1)).isInstanceOf(IllegalArgumentException.class);
     }
 
     /** Whatever comes and goes, in any order: nothing is held beyond its time or bound, and each owed end is accounted for. */
@@ -119,7 +119,7 @@
     void anyCourseOfEventsAccountsForEachEnd() {
         for (int seed = 0; seed < 200; seed++) {
             Random random = new Random(seed);
-            Ledger<Integer, String, String> any = new Ledger<>(POLICY, ways);
+            PendingTeardowns<Integer, String, String> any = new PendingTeardowns<>(POLICY, ways);
             ranks.clear();
             written.clear();
             long now = 0;
@@ -151,7 +151,7 @@
                 }
                 any.work(now, 5);
             }
-            Counts c = any.counts();
+            TeardownCounts c = any.counts();
             assertThat(c.told()).isEqualTo(told);
             assertThat(c.told() + c.unheard() + c.lapsed() + c.dropped() + c.unsent() + c.awaiting() + c.spent())
                 .as("seed " + seed).isEqualTo(owed);
