--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -11,8 +11,8 @@
 import grebewick.discovery.Subset;
 import grebewick.lifecycle.ActivityCount;
 import grebewick.lifecycle.PendingWork;
+import grebewick.membership.PeerDatagrams;
 import grebewick.names.FleetPoller;
-import grebewick.peers.PeerLink;
 import grebewick.sip.SipFront;
 import grebewick.trunk.Trunk;
 import io.vertx.core.Future;
@@ -35,7 +35,7 @@
     private final Subset subset;
     private final Gatekeeper<byte[]> core;
     private final SipFront front;
-    private PeerLink peers;
+    private PeerDatagrams peers;
     private FleetPoller poller;
 
     /** Wires the parts; {@link #start} opens the sockets. */
@@ -64,7 +64,7 @@
     /** Opens all sockets; gives the port where callers are taken. */
     public Future<Integer> start() {
         if (config.peerListen() != null) {
-            peers = new PeerLink(vertx, config.peers(), config.peersAll(), core::neighbourSays);
+            peers = new PeerDatagrams(vertx, config.peers(), config.peersAll(), core::neighbourSays);
             peers.listen(config.peerListen()).onFailure(e -> log.accept("peers: " + e.getMessage()));
         }
         tell(Scope.PERSISTED, config.known());
--- a/src/main/java/grebewick/peers/PeerLink.java
+++ b/src/main/java/grebewick/membership/PeerDatagrams.java
@@ -1,4 +1,4 @@
-package grebewick.peers;
+package grebewick.membership;
 
 import grebewick.config.Address;
 import io.vertx.core.Future;
@@ -11,7 +11,7 @@
 import java.util.function.BiConsumer;
 
 /** Short messages between gatekeepers: datagrams that come late or never. */
-public final class PeerLink {
+public final class PeerDatagrams {
     private static final int MOST = 256;
 
     private final DatagramSocket socket;
@@ -19,7 +19,7 @@
     private final Address all;
 
     /** Hands what comes to {@code heard}, with its sender's number; strangers are not heard. */
-    public PeerLink(Vertx vertx, List<Address> peers, Address all, BiConsumer<Integer, byte[]> heard) {
+    public PeerDatagrams(Vertx vertx, List<Address> peers, Address all, BiConsumer<Integer, byte[]> heard) {
         this.peers = peers;
         this.all = all;
         socket = vertx.createDatagramSocket();
--- a/src/test/java/grebewick/peers/PeerLinkTest.java
+++ b/src/test/java/grebewick/membership/PeerDatagramsTest.java
@@ -1,4 +1,4 @@
-package grebewick.peers;
+package grebewick.membership;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,7 +11,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class PeerLinkTest {
+class PeerDatagramsTest {
     /** Guards the module against strangers and against what is longer than the platform allows. */
     @Test
     void theLastOfAThousandPeersIsHeardAndNoStrangerNorWhatIsTooLong() {
@@ -21,8 +21,8 @@
             List<Address> peers = new ArrayList<>(Collections.nCopies(1023, new Address("127.1.0.1", 7946)));
             peers.add(new Address("127.0.0.1", at));
             List<String> heard = new ArrayList<>();
-            PeerLink link = s
-                .on(() -> new PeerLink(s.vertx, peers, null, (from, bytes) -> heard.add(from + ": " + bytes.length)));
+            PeerDatagrams link = s
+                .on(() -> new PeerDatagrams(s.vertx, peers, null, (from, bytes) -> heard.add(from + ": " + bytes.length)));
             int port = s.await(() -> link.listen(new Address("127.0.0.1", 0))).localAddress().port();
             s.await(() -> s.vertx.createDatagramSocket().send(Buffer.buffer(new byte[1]), port, "127.0.0.1"));
             for (int length : new int[] {257, 60_000, 256}) {
