Discovery: zone transfers' shared types and their DNS messages

The list of servers is to be distributed by incremental zone transfer (RFC 1995); this adds versions, changes and contents of a zone, queries and answers, their codec on dnsjava's messages, an assembler that gives nothing before an answer is whole, the framing of RFC 1035 over TCP, and bounds of sizes without encoding. A change holds the servers it removes as they were, not their ids alone: RFC 1995 deletes whole records. Nothing uses it yet.

--- /dev/null
+++ b/src/main/java/grebewick/discovery/transfer/TransferRequest.java
@@ -0,0 +1,24 @@
+package grebewick.discovery.transfer;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * A query for what changed in a zone since the version held.
+ *
+ * @param id of the DNS message, 16 bits
+ * @param zone its absolute name in lower case, as {@code s12.east.fleet.local.}
+ * @param held the asker's version; empty: it holds none, and the whole zone is wanted
+ */
+public record TransferRequest(int id, String zone, Optional<ZoneVersion> held) {
+    /** Refuses an id out of range or a relative name. */
+    public TransferRequest {
+        if (id < 0 || id > 0xffff) {
+            throw new IllegalArgumentException("no id of a message: " + id);
+        }
+        if (!zone.endsWith(".")) {
+            throw new IllegalArgumentException("not an absolute name: " + zone);
+        }
+        zone = zone.toLowerCase(Locale.ROOT);
+    }
+}
