Replica: server over UDP and TCP, primary's files and the command

The server answers in one datagram or over bounded TCP connections, encodes a message when the socket takes it, and closes who reads nothing, asks nothing or sends garbage. A primary numbers the zones of a JSON file, with marks kept on the disk before a version is given out. The command 'replica FILE' runs it; a secondary waits for the client.

Cost not measured.

--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -4,15 +4,24 @@
 import grebewick.config.BadConfig;
 import grebewick.config.NodeConfig;
 import grebewick.diameter.DiameterConfig;
+import grebewick.discovery.replica.ReplicaConfig;
+import grebewick.discovery.replica.ReplicaProcess;
 import java.util.Map;
 
-/** The command line: {@code serve} runs a gatekeeper, {@code benchlink} the simulator's adapter, {@code rehearse} a few calls. */
+/**
+ * The command line: {@code serve} runs a gatekeeper, {@code benchlink} the simulator's adapter, {@code rehearse} a few calls,
+ * {@code replica FILE} a name server for lists of servers.
+ */
 public final class Main {
     private Main() { }
 
     /** Runs the command; exits with 2 on a bad command line or configuration. */
     public static void main(String[] args) throws Exception {
         String command = args.length == 1 ? args[0] : "";
+        if (args.length == 2 && args[0].equals("replica")) {
+            replica(args[1]);
+            return;
+        }
         switch (command) {
             case "benchlink" -> System.exit(Adapter.run());
             case "serve" -> {
@@ -34,9 +43,26 @@
                 System.exit(0);
             }
             default -> {
-                System.err.println("usage: java -jar grebewick.jar serve | benchlink | rehearse");
+                System.err.println("usage: java -jar grebewick.jar serve | benchlink | rehearse | replica FILE");
                 System.exit(2);
             }
         }
     }
+
+    /** Runs a replica until SIGTERM. */
+    private static void replica(String file) {
+        Reload reload = new Reload();
+        Signals.on("HUP", reload::asked);
+        try {
+            ReplicaProcess process = ReplicaProcess.start(ReplicaConfig.load(file), System.err::println);
+            Runtime.getRuntime().addShutdownHook(new Thread(process::close, "sigterm"));
+            reload.ready(process::reload);
+        } catch (IllegalStateException e) {
+            // The signal came first: the process is already ending.
+            return;
+        } catch (BadConfig e) {
+            System.err.println("grebewick: " + e.getMessage());
+            System.exit(2);
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
@@ -0,0 +1,160 @@
+package grebewick.discovery.replica;
+
+import grebewick.config.Address;
+import grebewick.config.BadConfig;
+import grebewick.core.Clock;
+import grebewick.core.Timers;
+import grebewick.discovery.transfer.ZoneContent;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+
+/** The process of the command {@code replica}: one event loop, its source and its server, until it is closed. */
+public final class ReplicaProcess implements ZoneSource.Listener {
+    private static final long US_PER_MS = 1_000;
+    /** us. For answers that have begun when the process ends. */
+    private static final long ANSWERS_US = 1_000_000;
+    /** s. For the start and for the end of all of it. */
+    private static final long PATIENCE_S = 10;
+    /** us. Between lines with the counters. */
+    private static final long COUNTERS_US = 60_000_000;
+
+    private final ReplicaConfig config;
+    private final Consumer<String> log;
+    private final Vertx vertx;
+    private final Context loop;
+    private final ReplicaState state;
+    private final ReplicaServer server;
+    private final Timers timers;
+    private final ZoneSource source;
+    private Runnable nextCounters = () -> { };
+
+    private ReplicaProcess(ReplicaConfig config, Consumer<String> log) {
+        this.config = config;
+        this.log = log;
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+            .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        vertx.exceptionHandler(e -> log.accept("uncaught: " + e));
+        loop = vertx.getOrCreateContext();
+        long zeroUs = System.currentTimeMillis() * US_PER_MS - System.nanoTime() / US_PER_MS;
+        Clock clock = () -> zeroUs + System.nanoTime() / US_PER_MS;
+        timers = this::after;
+        state = new ReplicaState(config.history(), config.limits(), clock.nowUs());
+        server = new ReplicaServer(vertx, state, config.server(), clock, timers, log);
+        try {
+            source = source(config);
+        } catch (BadConfig e) {
+            vertx.close();
+            throw e;
+        }
+    }
+
+    private ZoneSource source(ReplicaConfig of) {
+        if (of.zoneFile() == null) {
+            throw new BadConfig("replica: field role: there is no client for a secondary yet");
+        }
+        return new PrimarySource(vertx, of.zoneFile(), of.markFile(), System.currentTimeMillis());
+    }
+
+    private Runnable after(long us, Runnable task) {
+        long id = vertx.setTimer(Math.max(1, (us + US_PER_MS - 1) / US_PER_MS), fired -> task.run());
+        return () -> vertx.cancelTimer(id);
+    }
+
+    /**
+     * Starts a replica.
+     *
+     * @throws BadConfig it cannot work, or the address cannot be listened at; nothing is left behind
+     */
+    public static ReplicaProcess start(ReplicaConfig config, Consumer<String> log) {
+        ReplicaProcess process = new ReplicaProcess(config, log);
+        try {
+            get(process.run());
+            return process;
+        } catch (BadConfig e) {
+            process.vertx.close();
+            throw e;
+        }
+    }
+
+    private CompletableFuture<Address> run() {
+        CompletableFuture<Address> started = new CompletableFuture<>();
+        loop.runOnContext(v -> {
+            source.start(this);
+            server.listen(config.listen()).onSuccess(at -> {
+                log.accept("replica serves " + state.held() + " of " + state.served().size() + " zones at " + at);
+                countLater();
+                started.complete(at);
+            }).onFailure(e -> started.completeExceptionally(
+                new BadConfig("replica: field listen: " + config.listen() + ": " + e.getMessage())));
+        });
+        return started;
+    }
+
+    private void countLater() {
+        nextCounters = timers.after(COUNTERS_US, () -> {
+            log.accept(counters());
+            countLater();
+        });
+    }
+
+    private String counters() {
+        return "replica: " + state.counters() + "; " + state.held() + " of " + state.served().size() + " zones held, "
+            + state.historyBytes() + " bytes of history";
+    }
+
+    @Override
+    public void serve(Set<String> zones) {
+        state.serve(zones);
+    }
+
+    @Override
+    public void news(String zone, ZoneContent content) {
+        state.take(zone, content);
+    }
+
+    /** Reads the configuration of its zones anew; what cannot work is logged and changes nothing. */
+    public void reload() {
+        loop.runOnContext(v -> source.reread()
+            .onSuccess(read -> log.accept("replica: zones read anew, " + state.served().size() + " are served"))
+            .onFailure(e -> log.accept("replica: zones not read anew: " + e.getMessage())));
+    }
+
+    /** Ends: answers that have begun are finished, for a second at the most. Returns when all is closed. */
+    public void close() {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        loop.runOnContext(v -> {
+            nextCounters.run();
+            source.close().eventually(() -> server.close(ANSWERS_US)).onComplete(done -> {
+                log.accept(counters());
+                log.accept("replica ends");
+                vertx.close().onComplete(all -> closed.complete(null));
+            });
+        });
+        try {
+            get(closed);
+        } catch (BadConfig e) {
+            log.accept(e.getMessage());
+        }
+    }
+
+    private static <T> T get(CompletableFuture<T> future) {
+        try {
+            return future.get(PATIENCE_S, TimeUnit.SECONDS);
+        } catch (ExecutionException e) {
+            throw e.getCause() instanceof BadConfig bad ? bad : new IllegalStateException(e.getCause());
+        } catch (TimeoutException e) {
+            throw new BadConfig("replica: the event loop stands still");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new BadConfig("replica: interrupted");
+        }
+    }
+}
--- a/src/main/java/grebewick/discovery/transfer/TransferCodec.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferCodec.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.Iterator;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.xbill.DNS.DClass;
@@ -35,8 +36,25 @@
     /** Records of a message over TCP: 32 servers with the longest names are below the 65,535 bytes of a message. */
     static final int RECORDS_PER_MESSAGE = 32 * ServerRecords.PER_SERVER;
 
+    /** Of the 255 bytes of a name, two labels of 63 are a server's. */
+    private static final int MOST_ZONE_BYTES = 127;
+
     private TransferCodec() { }
 
+    /** Refuses what is no absolute name of a zone in lower case, with room for the names of its servers. */
+    public static void checkZone(String zone) {
+        Name name = name(zone);
+        if (!name.isAbsolute() || !zone.equals(zone.toLowerCase(Locale.ROOT)) || !zone.equals(name.toString())
+            || name.length() > MOST_ZONE_BYTES) {
+            throw new IllegalArgumentException("'" + zone + "' is no absolute name of a zone in lower case");
+        }
+    }
+
+    /** Refuses a server that the records of a zone cannot say. */
+    public static void checkServer(String zone, Endpoint server) {
+        ServerRecords.of(name(zone), server);
+    }
+
     /** The message of a query. */
     public static byte[] encodeQuery(TransferRequest request) {
         Name zone = name(request.zone());
