--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -13,7 +13,7 @@
  * {@code replica FILE} a name server for lists of servers.
  */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     /** Runs the command; exits with 2 on a bad command line or configuration. */
     public static void main(String[] args) throws Exception {
--- a/src/main/java/grebewick/Rehearsal.java
+++ b/src/main/java/grebewick/Rehearsal.java
@@ -32,7 +32,8 @@
         {"listen":"127.0.0.1:%d","names":"127.0.0.1:%d","known":{"index":1,"updates":[{"snapshot":true,"endpoints":[
           {"name":"s-1","address":"127.0.0.1:%d","zone":"a","type":"a","group":0,"status":"up","weight":1,"since_ms":0}]}]},
          "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[0,1]],"Release":10000,"Resend":100000,"Shape":"pools"},
-          "Bounds":{"AttemptsCap":4,"Cancel":true,"ConnectTimeout":500000,"MaxOpen":100,"Probes":true,"RetryAfter":true},"ReplicasOfMe":1,
+          "Bounds":{"AttemptsCap":4,"Cancel":true,"ConnectTimeout":500000,"MaxOpen":100,"Probes":true,"RetryAfter":true},
+          "ReplicasOfMe":1,
           "Grades":[{"Name":"a","GoalTime":200000,"HardLimit":1000000,"Effect":"retryable","Worth":1.0}],
           "Report":{"Fields":["free","size","can_take","queue"],"How":"inline"},
           "Rules":{"Cold":1000000,"ColdFrom":0.5,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3}}}""";
@@ -41,7 +42,7 @@
     private final CountDownLatch done = new CountDownLatch(1);
     private int calls;
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /** Plays it; gives the outcomes of the calls by name. */
     static String run() throws Exception {
@@ -49,8 +50,8 @@
     }
 
     private String play() throws Exception {
-        StandInServer server = new StandInServer(vertx, 2, 20, 3, id -> { });
-        StandInServer other = new StandInServer(vertx, 2, 20, 1, id -> { });
+        StandInServer server = new StandInServer(vertx, 2, 20, 3, id -> {});
+        StandInServer other = new StandInServer(vertx, 2, 20, 1, id -> {});
         StandInNames names = new StandInNames(vertx);
         int port = freePort();
         int serverPort = await(() -> server.listen(0));
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -1,5 +1,6 @@
 package grebewick.sip;
 
+import grebewick.config.Address;
 import grebewick.core.CallControl.Settings;
 import grebewick.core.Callers;
 import grebewick.core.Clock;
@@ -7,7 +8,6 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Timers;
-import grebewick.config.Address;
 import grebewick.owed.Counts;
 import grebewick.owed.Policy;
 import grebewick.owed.Teller;
@@ -179,7 +179,7 @@
                 spoke(on);
                 on.write(testsPass ? m.response(200, "OK") : m.response(503, "Service Unavailable"));
             }
-            case "ACK", "NOTIFY" -> { }
+            case "ACK", "NOTIFY" -> {}
             default -> useless(on, m, 501, "Not Implemented");
         }
     }
