--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -6,6 +6,9 @@
 import grebewick.diameter.DiameterConfig;
 import grebewick.discovery.replica.ReplicaConfig;
 import grebewick.discovery.replica.ReplicaProcess;
+import grebewick.lifecycle.ClassArchiveTraining;
+import grebewick.lifecycle.ConfigReload;
+import grebewick.lifecycle.SignalHandler;
 import java.util.Map;
 
 /**
@@ -25,8 +28,8 @@
         switch (command) {
             case "benchlink" -> System.exit(Adapter.run());
             case "serve" -> {
-                Reload reload = new Reload();
-                Signals.on("HUP", reload::asked);
+                ConfigReload reload = new ConfigReload();
+                SignalHandler.on("HUP", reload::asked);
                 try {
                     Map<String, String> env = System.getenv();
                     String diameter = env.get("RELAY_DIAMETER");
@@ -39,7 +42,8 @@
                 }
             }
             case "rehearse" -> {
-                System.err.println("rehearsed: " + Rehearsal.run());
+                System.err.println("rehearsed: " + ClassArchiveTraining.run(
+                    config -> Daemon.start(config, null, Map.of(), new ConfigReload())));
                 System.exit(0);
             }
             default -> {
@@ -51,8 +55,8 @@
 
     /** Runs a replica until SIGTERM. */
     private static void replica(String file) {
-        Reload reload = new Reload();
-        Signals.on("HUP", reload::asked);
+        ConfigReload reload = new ConfigReload();
+        SignalHandler.on("HUP", reload::asked);
         try {
             ReplicaProcess process = ReplicaProcess.start(ReplicaConfig.load(file), System.err::println);
             Runtime.getRuntime().addShutdownHook(new Thread(process::close, "sigterm"));
