--- a/src/main/java/grebewick/lab/Rush.java
+++ b/src/main/java/grebewick/lab/Rush.java
@@ -27,10 +27,12 @@
  */
 public final class Rush {
     private static final String CONFIG = """
-        {"name":"n0","listen":"127.0.0.1:%d","names":"127.0.0.1:%d","known":{"index":1,"updates":[{"snapshot":true,"endpoints":[%s]}]},
+        {"name":"n0","listen":"127.0.0.1:%d","names":"127.0.0.1:%d",
+         "known":{"index":1,"updates":[{"snapshot":true,"endpoints":[%s]}]},
          "limits":{"sockets":%d},"peer_listen":"127.0.0.1:0","peers":[%s],
          "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[%s]],"Resend":400000,"Release":500000,"Shape":"pools"},
-          "Bounds":{"AttemptsCap":4,"ConnectTimeout":500000,"MaxOpen":20000,"Cancel":true,"Probes":true,"RetryAfter":true},"ReplicasOfMe":%d,
+          "Bounds":{"AttemptsCap":4,"ConnectTimeout":500000,"MaxOpen":20000,"Cancel":true,"Probes":true,"RetryAfter":true},
+          "ReplicasOfMe":%d,
           "Grades":[{"Name":"a","GoalTime":400000,"HardLimit":3000000,"Effect":"retryable","Worth":1.0,"LateValue":0.1}],
           "Report":{"Fields":["free","size","can_take","queue"],"How":"inline"},"Period":5000,
           "Rules":{"Cold":5000000,"ColdFrom":0.5,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3}}}""";
@@ -38,12 +40,13 @@
     /** Stand-in processes; with more servers than that, several share one. */
     private static final int MOST_PROCESSES = 8;
 
-    private Rush() { }
+    private Rush() {}
 
     /** Prints a table; exits with 1 where an end was not told within a second. */
     public static void main(String[] args) throws Exception {
-        Map<String, Long> set = new HashMap<>(Map.of("rate", 50L, "seconds", 20L, "hold", 700L, "cut", 0L, "work", 30L, "lines", 2000L,
-            "servers", 2L, "peers", 1L, "sockets", 512L));
+        Map<String, Long> set = new HashMap<>(
+            Map.of("rate", 50L, "seconds", 20L, "hold", 700L, "cut", 0L, "work", 30L, "lines", 2000L,
+                "servers", 2L, "peers", 1L, "sockets", 512L));
         int split = Arrays.asList(args).indexOf("--");
         for (String arg : Arrays.asList(args).subList(0, split < 0 ? args.length : split)) {
             String[] pair = arg.split("=", 2);
@@ -113,8 +116,8 @@
                 }
             });
             if (set.get("cut") > 0) {
-                vertx.setTimer(set.get("cut") * 1000, t ->
-                    System.out.println("cut " + servers.stream().mapToInt(StandInServer::cutAll).sum() + " calls at once"));
+                vertx.setTimer(set.get("cut") * 1000,
+                    t -> System.out.println("cut " + servers.stream().mapToInt(StandInServer::cutAll).sum() + " calls at once"));
             }
             long before = 0;
             for (long s = 5; s <= seconds; s += 5) {
@@ -126,8 +129,10 @@
             }
             done.await(seconds + 10, TimeUnit.SECONDS);
             String[] open = new File("/proc/" + gatekeeper.pid() + "/fd").list();
-            System.out.println("memory, kB at most: " + Files.readAllLines(Path.of("/proc/" + gatekeeper.pid() + "/status")).stream()
-                .filter(line -> line.startsWith("VmHWM")).map(line -> line.replaceAll("\\D", "")).findFirst().orElse("not told")
+            System.out.println("memory, kB at most: "
+                + Files.readAllLines(Path.of("/proc/" + gatekeeper.pid() + "/status")).stream()
+                    .filter(line -> line.startsWith("VmHWM")).map(line -> line.replaceAll("\\D", "")).findFirst()
+                    .orElse("not told")
                 + "; descriptors: " + (open == null ? "not told" : open.length));
             Thread.sleep(200);
             return report(callers, endedUs, before);
@@ -172,7 +177,8 @@
             Long heard = callers.overUs().get(e.getKey());
             untold += heard == null || heard - e.getValue() > 1_000_000 ? 1 : 0;
             if (heard == null || heard - e.getValue() > 1_000_000) {
-                System.out.println("call " + e.getKey() + " was told " + (heard == null ? "never" : heard - e.getValue() + " us after its end"));
+                System.out.println(
+                    "call " + e.getKey() + " was told " + (heard == null ? "never" : heard - e.getValue() + " us after its end"));
             }
             told.add(heard == null ? Long.MAX_VALUE : heard - e.getValue());
         }
@@ -186,7 +192,8 @@
             return "none";
         }
         us.sort(Long::compare);
-        return us.size() + " of them, median " + us.get(us.size() / 2) + ", 99 % " + us.get((int) (us.size() * 0.99)) + ", most " + us.get(us.size() - 1);
+        return us.size() + " of them, median " + us.get(us.size() / 2) + ", 99 % " + us.get((int) (us.size() * 0.99)) + ", most "
+            + us.get(us.size() - 1);
     }
 
     /** Processor time of a process by the names of its threads, ms; Linux alone tells it. */
