--- /dev/null
+++ b/src/main/java/grebewick/discovery/transfer/ClientAction.java
@@ -0,0 +1,35 @@
+package grebewick.discovery.transfer;
+
+import grebewick.config.Endpoint;
+import java.util.List;
+import java.util.Optional;
+
+/** What a {@link ServerListClient} wants done. */
+public sealed interface ClientAction {
+    /**
+     * Ask by UDP. What comes back goes to {@link ServerListClient#answered} or {@link ServerListClient#failed}, late answers
+     * too; the client counts the timeout itself.
+     *
+     * @param request number of this query, never used twice
+     * @param held empty: no version is held
+     */
+    record SendQuery(long request, Replica replica, String zone, Optional<ZoneVersion> held) implements ClientAction {}
+
+    /** Ask over TCP; as {@link SendQuery}. */
+    record OpenTransfer(long request, Replica replica, String zone, Optional<ZoneVersion> held) implements ClientAction {}
+
+    /** Close the connection of a transfer; nothing more is wanted of it. */
+    record CloseTransfer(long request) implements ClientAction {}
+
+    /** Forget a query: no answer to it is wanted any more. */
+    record ForgetQuery(long request) implements ClientAction {}
+
+    /** A zone has other content. */
+    record ZoneChanged(String zone, ZoneContent content) implements ClientAction {}
+
+    /** The list of all servers as it now is. */
+    record Publish(List<Endpoint> servers) implements ClientAction {}
+
+    /** A line for the operators' log. */
+    record Log(String line) implements ClientAction {}
+}
--- a/src/main/java/grebewick/discovery/transfer/ServerRecords.java
+++ b/src/main/java/grebewick/discovery/transfer/ServerRecords.java
@@ -37,7 +37,7 @@
     /** Kinds: printable, and nothing that the text form of a TXT record escapes. */
     private static final Pattern KIND = Pattern.compile("[ !#-\\[\\]-~]{0,200}");
 
-    private ServerRecords() { }
+    private ServerRecords() {}
 
     /** The records of a server. */
     static List<Record> of(Name zone, Endpoint server) {
--- a/src/main/java/grebewick/discovery/transfer/TransferCodec.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferCodec.java
@@ -35,7 +35,7 @@
     /** Records of a message over TCP: 32 servers with the longest names are below the 65,535 bytes of a message. */
     static final int RECORDS_PER_MESSAGE = 32 * ServerRecords.PER_SERVER;
 
-    private TransferCodec() { }
+    private TransferCodec() {}
 
     /** The message of a query. */
     public static byte[] encodeQuery(TransferRequest request) {
--- a/src/main/java/grebewick/discovery/transfer/TransferResponse.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferResponse.java
@@ -9,7 +9,7 @@
      *
      * @param version of the replica: the same, or an earlier one where the replica is behind
      */
-    record UpToDate(ZoneVersion version) implements TransferResponse { }
+    record UpToDate(ZoneVersion version) implements TransferResponse {}
 
     /** The changes from the version held to the replica's, in order and without gaps; at least one. */
     record Incremental(List<ZoneChange> changes) implements TransferResponse {
@@ -33,11 +33,11 @@
     }
 
     /** The whole zone. */
-    record FullCopy(ZoneContent content) implements TransferResponse { }
+    record FullCopy(ZoneContent content) implements TransferResponse {}
 
     /** The replica has a later version, whose transfer does not fit a datagram: ask over TCP. */
-    record TooLarge(ZoneVersion version) implements TransferResponse { }
+    record TooLarge(ZoneVersion version) implements TransferResponse {}
 
     /** No transfer. */
-    record Failed(FailureReason reason) implements TransferResponse { }
+    record Failed(FailureReason reason) implements TransferResponse {}
 }
--- a/src/main/java/grebewick/discovery/transfer/TransferSize.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferSize.java
@@ -23,7 +23,7 @@
     /** The texts {@code kind=}, {@code cell=} and {@code started=} with their lengths and numbers. */
     private static final int TEXT = RECORD + 6 + 6 + 11 + 9 + 20;
 
-    private TransferSize() { }
+    private TransferSize() {}
 
     /** Bytes of an answer beside its changes or servers. */
     public static int ofFrame(String zone) {
--- a/src/main/java/grebewick/discovery/transfer/ZoneSoa.java
+++ b/src/main/java/grebewick/discovery/transfer/ZoneSoa.java
@@ -18,7 +18,7 @@
     private static final long EXPIRE_S = 604_800;
     private static final Pattern EPOCH = Pattern.compile("epoch-(0|[1-9][0-9]{0,18})");
 
-    private ZoneSoa() { }
+    private ZoneSoa() {}
 
     /** The record of a version. */
     static SOARecord of(Name zone, ZoneVersion version) {
@@ -44,7 +44,8 @@
         if (!soa.getName().equals(zone)) {
             throw new TransferException(Kind.WRONG_ZONE, "an SOA record of " + soa.getName() + " instead of " + zone);
         }
-        return held(soa).orElseThrow(() -> new TransferException(Kind.MALFORMED, "an SOA record without an epoch: " + soa.getHost()));
+        return held(soa)
+            .orElseThrow(() -> new TransferException(Kind.MALFORMED, "an SOA record without an epoch: " + soa.getHost()));
     }
 
     /** The version that a query says is held; empty where its record has no epoch of ours, as that of any other client. */
--- a/src/main/java/grebewick/discovery/transfer/ZoneVersion.java
+++ b/src/main/java/grebewick/discovery/transfer/ZoneVersion.java
@@ -13,8 +13,8 @@
     /** The highest serial. */
     public static final long MAX_SERIAL = 0xffff_ffffL;
 
-    private static final Comparator<ZoneVersion> ORDER =
-        Comparator.comparingLong(ZoneVersion::epoch).thenComparingLong(ZoneVersion::serial);
+    private static final Comparator<ZoneVersion> ORDER = Comparator.comparingLong(ZoneVersion::epoch)
+        .thenComparingLong(ZoneVersion::serial);
 
     /** Refuses an epoch under 1 and a serial out of range. */
     public ZoneVersion {
--- a/src/test/java/grebewick/discovery/transfer/TransferCodecTest.java
+++ b/src/test/java/grebewick/discovery/transfer/TransferCodecTest.java
@@ -120,7 +120,8 @@
         byte[] answer = TransferCodec.encodeDatagram(AT_7, new TooLarge(V8));
         assertFails(() -> TransferCodec.decodeDatagram(new TransferRequest(4712, ZONE, Optional.of(V7)), answer))
             .isEqualTo(Kind.WRONG_ID);
-        assertFails(() -> TransferCodec.decodeDatagram(new TransferRequest(4711, "s13.east.fleet.local.", Optional.of(V7)), answer))
+        assertFails(
+            () -> TransferCodec.decodeDatagram(new TransferRequest(4711, "s13.east.fleet.local.", Optional.of(V7)), answer))
             .isEqualTo(Kind.WRONG_ZONE);
         Incremental change = new Incremental(samples.chain(samples.content(V7, 3), 1));
         byte[] from7 = TransferCodec.encodeDatagram(AT_7, change);
@@ -224,8 +225,10 @@
         Endpoint good = samples.server();
         ServerEntry entry = good.entry();
         for (ServerEntry bad : List.of(
-            new ServerEntry("s.1", 0, Stage.HEALTHY, 0, "std", "east", 1), new ServerEntry("S-1", 0, Stage.HEALTHY, 0, "std", "east", 1),
-            new ServerEntry("s-1", 0, Stage.HEALTHY, 0, "std", "", 1), new ServerEntry("s-1", 0, Stage.HEALTHY, 0, "s\\t", "east", 1),
+            new ServerEntry("s.1", 0, Stage.HEALTHY, 0, "std", "east", 1),
+            new ServerEntry("S-1", 0, Stage.HEALTHY, 0, "std", "east", 1),
+            new ServerEntry("s-1", 0, Stage.HEALTHY, 0, "std", "", 1),
+            new ServerEntry("s-1", 0, Stage.HEALTHY, 0, "s\\t", "east", 1),
             new ServerEntry("s-1", 0, Stage.DEREGISTERED, 0, "std", "east", 1),
             new ServerEntry("s-1", 0, Stage.HEALTHY, 0, "std", "east", 7_000))) {
             FullCopy copy = new FullCopy(ZoneContent.of(V8, List.of(new Endpoint(bad, good.address()))));
