--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -4,7 +4,6 @@
 import grebewick.config.BadConfig;
 import grebewick.config.NodeConfig;
 import grebewick.diameter.DiameterConfig;
-import grebewick.discovery.replica.ReplicaConfig;
 import grebewick.discovery.replica.ReplicaProcess;
 import grebewick.lifecycle.ClassArchiveTraining;
 import grebewick.lifecycle.ConfigReload;
@@ -58,7 +57,7 @@
         ConfigReload reload = new ConfigReload();
         SignalHandler.on("HUP", reload::asked);
         try {
-            ReplicaProcess process = ReplicaProcess.start(ReplicaConfig.load(file), System.err::println);
+            ReplicaProcess process = ReplicaProcess.start(file, System.err::println);
             Runtime.getRuntime().addShutdownHook(new Thread(process::close, "sigterm"));
             reload.ready(process::reload);
         } catch (IllegalStateException e) {
--- a/src/main/java/grebewick/discovery/replica/TransferConnection.java
+++ b/src/main/java/grebewick/discovery/replica/ClientConnection.java
@@ -21,7 +21,7 @@
  * One client over TCP: queries are answered one after the other. Messages are encoded when the socket takes them, so that a
  * slow reader holds one write queue at the most; one that takes nothing, or asks nothing, is closed.
  */
-final class TransferConnection {
+final class ClientConnection {
     /** Bytes of a query at the most. */
     private static final int MOST_QUERY = 1_024;
     /** Bytes that wait for the socket before no more are encoded. */
@@ -46,8 +46,8 @@
     private long answerEndUs;
     private Runnable deadline = () -> {};
 
-    TransferConnection(NetSocket socket, ReplicaState state, ServerLimits limits, Clock clock, Timers timers,
-                       Consumer<Runnable> nextTurn) {
+    ClientConnection(NetSocket socket, ReplicaState state, ServerLimits limits, Clock clock, Timers timers,
+                     Consumer<Runnable> nextTurn) {
         this.socket = socket;
         this.state = state;
         this.limits = limits;
--- a/src/main/java/grebewick/discovery/replica/ReplicaConfig.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaConfig.java
@@ -5,11 +5,14 @@
 import grebewick.benchlink.WireException;
 import grebewick.config.Address;
 import grebewick.config.BadConfig;
+import grebewick.discovery.transfer.DiscoveryConfig;
+import grebewick.discovery.transfer.Replica;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -18,13 +21,21 @@
  * @param listen for UDP and TCP
  * @param zoneFile of a primary; null: a secondary
  * @param markFile of a primary: beside the zones' file unless named
- * @param upstreams of a secondary
- * @param zones of a secondary
+ * @param follow the zones and upstreams of a secondary; null: a primary
  */
-public record ReplicaConfig(Address listen, Path zoneFile, Path markFile, List<Address> upstreams, Set<String> zones,
+public record ReplicaConfig(Address listen, Path zoneFile, Path markFile, DiscoveryConfig follow,
                             LimitSettings limits, HistoryLimits history, ServerLimits server) {
     /** Changes and bytes of history for a zone: a hundred changes of a zone of usual size, which are minutes. */
     private static final HistoryLimits HISTORY = new HistoryLimits(4_096, 65_536);
+    private static final long US_PER_MS = 1_000;
+    /** A change passes two replicas within the 9 s that it has in all. */
+    private static final long POLL_MS = 1_000;
+    private static final long TIMEOUT_US = 500_000;
+    private static final long TRANSFER_US = 10_000_000;
+    /** 1,000 zones polled every second. */
+    private static final long POLL_BYTES_PER_S = 256_000;
+    private static final long TRANSFER_BYTES_PER_S = 4_000_000;
+    private static final long MAX_TRANSFER_BYTES = 64 << 20;
 
     /** Reads the file; paths in it are relative to its folder. */
     public static ReplicaConfig load(String name) {
@@ -47,7 +58,7 @@
         try {
             Fields f = new Fields("replica", Fields.asObject("replica", Codec.parse(text)));
             Address listen = address("listen", f.string("listen"));
-            Fields limits = f.has("limits") ? f.object("limits") : new Fields("replica.limits", java.util.Map.of());
+            Fields limits = f.has("limits") ? f.object("limits") : new Fields("replica.limits", Map.of());
             LimitSettings usual = LimitSettings.DEFAULT;
             LimitSettings settings = new LimitSettings((int) positive(limits, "transfers", usual.transfers()),
                 positive(limits, "copy_bytes_per_s", usual.copyBytesPerSecond()),
@@ -60,9 +71,9 @@
                 case "primary" -> {
                     Path zoneFile = folder.resolve(f.string("zone_file"));
                     Path markFile = folder.resolve(f.string("mark_file", f.string("zone_file") + ".marks"));
-                    yield new ReplicaConfig(listen, zoneFile, markFile, List.of(), Set.of(), settings, history, server);
+                    yield new ReplicaConfig(listen, zoneFile, markFile, null, settings, history, server);
                 }
-                case "secondary" -> new ReplicaConfig(listen, null, null, upstreams(f), zones(f), settings, history, server);
+                case "secondary" -> new ReplicaConfig(listen, null, null, follow(f), settings, history, server);
                 default -> throw new BadConfig("replica: field role is neither primary nor secondary");
             };
         } catch (WireException e) {
@@ -70,21 +81,25 @@
         }
     }
 
-    private static List<Address> upstreams(Fields f) {
-        List<Address> upstreams = f.strings("upstreams").stream().map(text -> address("upstreams", text)).toList();
+    private static DiscoveryConfig follow(Fields f) {
+        // Upstreams are equally near: each secondary asks them in an order of its own drawing.
+        List<Replica> upstreams = f.strings("upstreams").stream().map(text -> new Replica(address("upstreams", text), "", ""))
+            .toList();
         if (upstreams.isEmpty()) {
             throw new BadConfig("replica: field upstreams is missing or empty");
         }
-        return upstreams;
+        return new DiscoveryConfig("", "", upstreams, zones(f), US_PER_MS * positive(f, "poll_ms", POLL_MS), TIMEOUT_US,
+            TRANSFER_US, positive(f, "poll_bytes_per_s", POLL_BYTES_PER_S),
+            positive(f, "transfer_bytes_per_s", TRANSFER_BYTES_PER_S), MAX_TRANSFER_BYTES);
     }
 
-    private static Set<String> zones(Fields f) {
+    private static List<String> zones(Fields f) {
         Set<String> zones = new LinkedHashSet<>(f.strings("zones"));
         if (zones.isEmpty()) {
             throw new BadConfig("replica: field zones is missing or empty");
         }
         zones.forEach(zone -> ZoneFile.checkName("replica: field zones", zone));
-        return zones;
+        return List.copyOf(zones);
     }
 
     private static Address address(String field, String text) {
@@ -95,10 +110,10 @@
         }
     }
 
-    private static long positive(Fields limits, String name, long usual) {
-        long value = limits.integer(name, usual);
+    private static long positive(Fields fields, String name, long usual) {
+        long value = fields.integer(name, usual);
         if (value < 1 || value > Integer.MAX_VALUE) {
-            throw new BadConfig(limits.message() + ": field " + name + " is not between 1 and " + Integer.MAX_VALUE);
+            throw new BadConfig(fields.message() + ": field " + name + " is not between 1 and " + Integer.MAX_VALUE);
         }
         return value;
     }
--- a/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
@@ -4,12 +4,14 @@
 import grebewick.config.BadConfig;
 import grebewick.core.Clock;
 import grebewick.core.Timers;
+import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.discovery.transfer.ZoneContent;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -36,9 +38,9 @@
     private final ZoneSource source;
     private Runnable nextCounters = () -> {};
 
-    private ReplicaProcess(ReplicaConfig config, Consumer<String> log) {
-        this.config = config;
+    private ReplicaProcess(String file, Consumer<String> log) {
         this.log = log;
+        config = ReplicaConfig.load(file);
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
             .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
         vertx.exceptionHandler(e -> log.accept("uncaught: " + e));
@@ -49,18 +51,26 @@
         state = new ReplicaState(config.history(), config.limits(), clock.nowUs());
         server = new ReplicaServer(vertx, state, config.server(), clock, timers, log);
         try {
-            source = source(config);
+            source = source(file, clock);
         } catch (BadConfig e) {
             vertx.close();
             throw e;
         }
     }
 
-    private ZoneSource source(ReplicaConfig of) {
-        if (of.zoneFile() == null) {
-            throw new BadConfig("replica: field role: there is no client for a secondary yet");
+    private ZoneSource source(String file, Clock clock) {
+        if (config.follow() == null) {
+            return new PrimarySource(vertx, config.zoneFile(), config.markFile(), System.currentTimeMillis());
         }
-        return new PrimarySource(vertx, of.zoneFile(), of.markFile(), System.currentTimeMillis());
+        return new SecondarySource(vertx, clock, timers, new SplittableRandom(), config.follow(), () -> follow(file), log);
+    }
+
+    private static DiscoveryConfig follow(String file) {
+        DiscoveryConfig follow = ReplicaConfig.load(file).follow();
+        if (follow == null) {
+            throw new BadConfig(file + ": replica: field role cannot change without a restart");
+        }
+        return follow;
     }
 
     private Runnable after(long us, Runnable task) {
@@ -71,10 +81,11 @@
     /**
      * Starts a replica.
      *
+     * @param file its configuration
      * @throws BadConfig it cannot work, or the address cannot be listened at; nothing is left behind
      */
-    public static ReplicaProcess start(ReplicaConfig config, Consumer<String> log) {
-        ReplicaProcess process = new ReplicaProcess(config, log);
+    public static ReplicaProcess start(String file, Consumer<String> log) {
+        ReplicaProcess process = new ReplicaProcess(file, log);
         try {
             get(process.run());
             return process;
--- a/src/main/java/grebewick/discovery/replica/ReplicaServer.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaServer.java
@@ -41,7 +41,7 @@
     private final Clock clock;
     private final Timers timers;
     private final Consumer<String> log;
-    private final Set<TransferConnection> connections = new LinkedHashSet<>();
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private DatagramSocket datagrams;
     private NetServer streams;
     private int waitingDatagrams;
@@ -110,7 +110,7 @@
             socket.close();
             return;
         }
-        TransferConnection connection = new TransferConnection(socket, state, limits, clock, timers,
+        ClientConnection connection = new ClientConnection(socket, state, limits, clock, timers,
             task -> vertx.runOnContext(v -> task.run()));
         connections.add(connection);
         socket.closeHandler(closed -> {
@@ -130,7 +130,7 @@
             return Future.succeededFuture();
         }
         Future<Void> silent = datagrams.close();
-        List.copyOf(connections).forEach(TransferConnection::end);
+        List.copyOf(connections).forEach(ClientConnection::end);
         Promise<Void> ended = Promise.promise();
         awaitEnds(clock.nowUs() + patienceUs, ended);
         return silent.compose(closed -> ended.future()).compose(all -> streams.close());
--- a/src/main/java/grebewick/discovery/transfer/TransferSize.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferSize.java
@@ -52,7 +52,8 @@
         return ofFrame(zone) + ofServers(zone, servers) + furtherMessages * ofMessage(zone);
     }
 
-    private static int ofServers(String zone, Collection<Endpoint> servers) {
+    /** Bytes of servers within one message of an answer. */
+    public static int ofServers(String zone, Collection<Endpoint> servers) {
         int bytes = 0;
         for (Endpoint server : servers) {
             bytes += ofServer(zone, server);
--- a/src/test/java/grebewick/ReplicaProcessTest.java
+++ b/src/test/java/grebewick/ReplicaProcessTest.java
@@ -2,9 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import grebewick.discovery.replica.ReplicaProcess;
+import grebewick.discovery.transfer.FailureReason;
 import grebewick.discovery.transfer.TransferCodec;
 import grebewick.discovery.transfer.TransferRequest;
 import grebewick.discovery.transfer.TransferResponse;
+import grebewick.discovery.transfer.TransferResponse.Failed;
 import grebewick.discovery.transfer.TransferResponse.FullCopy;
 import grebewick.discovery.transfer.TransferResponse.Incremental;
 import grebewick.discovery.transfer.TransferResponse.UpToDate;
@@ -22,6 +25,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -141,6 +146,43 @@
         assertThat(ended()).isEqualTo(TERMINATED);
     }
 
+    /** A primary, and a secondary of it as a process: it starts empty, follows, and ends. */
+    @Test
+    void aSecondaryFollowsItsPrimary() throws Exception {
+        write(server(1));
+        Path file = folder.resolve("replica.json");
+        Files.writeString(file, "{\"listen\":\"127.0.0.1:0\",\"role\":\"primary\",\"zone_file\":\"zones.json\"}");
+        BlockingQueue<String> primaryLines = new LinkedBlockingQueue<>();
+        ReplicaProcess primary = ReplicaProcess.start(file.toString(), primaryLines::add);
+        String at = primaryLines.take().replaceAll(".* at ", "");
+        Path second = folder.resolve("secondary.json");
+        Files.writeString(second, "{\"listen\":\"127.0.0.1:0\",\"role\":\"secondary\",\"poll_ms\":50,\"upstreams\":[\"" + at
+            + "\"],\"zones\":[\"" + ZONE + "\"]}");
+        start(List.of(), Map.of(), "replica", second.toString());
+        int port = Integer.parseInt(line("replica serves 0 of 1 zones").replaceAll(".*:", ""));
+        ZoneVersion first = awaitCopy(port);
+        write(server(1) + "," + server(2));
+        primary.reload();
+        TransferResponse response = ask(port, first);
+        while (response.equals(new UpToDate(first))) {
+            response = ask(port, first);
+        }
+        assertThat(((Incremental) response).version()).isEqualTo(first.next());
+        signal("TERM");
+        assertThat(ended()).isEqualTo(TERMINATED);
+        primary.close();
+        assertThat(primaryLines).contains("replica ends");
+    }
+
+    private static ZoneVersion awaitCopy(int port) throws Exception {
+        TransferResponse response = ask(port, null);
+        while (!(response instanceof FullCopy)) {
+            assertThat(response).isEqualTo(new Failed(FailureReason.SERVFAIL));
+            response = ask(port, null);
+        }
+        return ((FullCopy) response).content().version();
+    }
+
     @Test
     void whatCannotWorkEndsItWithOneLine() throws Exception {
         write("{}");
--- a/src/test/java/grebewick/discovery/replica/ReplicaConfigTest.java
+++ b/src/test/java/grebewick/discovery/replica/ReplicaConfigTest.java
@@ -5,6 +5,7 @@
 
 import grebewick.config.Address;
 import grebewick.config.BadConfig;
+import grebewick.discovery.transfer.Replica;
 import java.nio.file.Path;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -22,8 +23,9 @@
         assertThat(primary.markFile()).hasFileName("replica-zones.json.marks");
         ReplicaConfig secondary = ReplicaConfig.load("deploy/replica-secondary.json");
         assertThat(secondary.zoneFile()).isNull();
-        assertThat(secondary.upstreams()).containsExactly(new Address("127.0.0.1", 5300));
-        assertThat(secondary.zones()).contains("s1.east.fleet.local.");
+        assertThat(primary.follow()).isNull();
+        assertThat(secondary.follow().replicas()).containsExactly(new Replica(new Address("127.0.0.1", 5300), "", ""));
+        assertThat(secondary.follow().zones()).contains("s1.east.fleet.local.");
     }
 
     @Test
