Discovery: RELAY_DISCOVERY takes the list from zone transfers; off without it

Cause: the client was not wired. Change: Node takes its list from DnsTransferClient in place of FleetPoller where the file is named; SIGHUP reads it anew; faults are one line with file and field, exit 2. Off, no class of the package is loaded (ProcessTest; it failed while a lambda of Daemon captured the configuration). ProcessTest's start takes options and variables; its two old tests are as they were.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -8,6 +8,7 @@
 import grebewick.core.Timers;
 import grebewick.diameter.DiameterConfig;
 import grebewick.diameter.DiameterNode;
+import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.eventloop.AfterReadQueue;
 import grebewick.eventloop.BoundedAcceptor;
 import grebewick.eventloop.LoopLagMonitor;
@@ -37,6 +38,8 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private Node node;
     private DiameterNode diameter;
+    /** A field, as a lambda that captured it would load its class where it is off. */
+    private DiscoveryConfig discovery;
     private final Clock clock;
     private final Timers timers;
     private long longestUs;
@@ -55,10 +58,12 @@
         timers = afterRead.timers(vertx, vertx.getOrCreateContext());
     }
 
-    /** Either configuration may be null, not both. */
-    static void start(NodeConfig config, DiameterConfig diameter, Map<String, String> env, ConfigReload reload) {
+    /** {@code config} or {@code diameter} may be null, not both; {@code discovery} null: the list is the name service's. */
+    static void start(NodeConfig config, DiscoveryConfig discovery, DiameterConfig diameter, Map<String, String> env,
+                      ConfigReload reload) {
         int sockets = config == null ? NodeConfig.SOCKETS : config.sockets();
         Daemon daemon = new Daemon(SipFront.mostLines(sockets) + UNSEEN);
+        daemon.discovery = discovery;
         daemon.vertx.exceptionHandler(e -> log("uncaught: " + e));
         // Before anything is opened: what was taken by then would be lost with a signal that nobody hears.
         try {
@@ -79,7 +84,7 @@
         }
         longestUs = Math.max(config == null ? 0 : longestUs(config.settings()), second == null ? 0 : second.requestUs());
         if (config != null) {
-            node = new Node(vertx, config, clock, timers, Daemon::log);
+            node = new Node(vertx, config, discovery, clock, timers, Daemon::log);
             new LoopLagMonitor(clock, timers, this::activity, Daemon::log).start();
             node.start().onSuccess(port -> log(config.name() + " serves at " + config.listen().host() + ":" + port))
                 .onFailure(e -> fail(config.listen(), e));
@@ -99,7 +104,9 @@
         }
         try {
             NodeConfig next = NodeConfig.load(env);
-            vertx.runOnContext(v -> node.reload(next));
+            String file = env.get("RELAY_DISCOVERY");
+            DiscoveryConfig nextDiscovery = file == null ? null : DiscoveryConfig.load(file);
+            vertx.runOnContext(v -> node.reload(next, nextDiscovery));
         } catch (BadConfig e) {
             log("SIGHUP: the old configuration stays: " + e.getMessage());
         }
--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -4,6 +4,7 @@
 import grebewick.config.BadConfig;
 import grebewick.config.NodeConfig;
 import grebewick.diameter.DiameterConfig;
+import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.lifecycle.ClassArchiveTraining;
 import grebewick.lifecycle.ConfigReload;
 import grebewick.lifecycle.SignalHandler;
@@ -24,8 +25,14 @@
                 try {
                     Map<String, String> env = System.getenv();
                     String diameter = env.get("RELAY_DIAMETER");
+                    String discovery = env.get("RELAY_DISCOVERY");
+                    boolean isPlatformOff = diameter != null && !env.containsKey("RELAY_CONFIG");
+                    if (discovery != null && isPlatformOff) {
+                        throw new BadConfig("RELAY_DISCOVERY: there is no RELAY_CONFIG whose servers it could list");
+                    }
                     // With a Diameter file alone there is no platform, and so no configuration of one.
-                    Daemon.start(diameter != null && !env.containsKey("RELAY_CONFIG") ? null : NodeConfig.load(env),
+                    Daemon.start(isPlatformOff ? null : NodeConfig.load(env),
+                        discovery == null ? null : DiscoveryConfig.load(discovery),
                         diameter == null ? null : DiameterConfig.load(diameter), env, reload);
                 } catch (BadConfig e) {
                     System.err.println("grebewick: " + e.getMessage());
@@ -34,7 +41,7 @@
             }
             case "rehearse" -> {
                 System.err.println("rehearsed: " + ClassArchiveTraining.run(
-                    config -> Daemon.start(config, null, Map.of(), new ConfigReload())));
+                    config -> Daemon.start(config, null, null, Map.of(), new ConfigReload())));
                 System.exit(0);
             }
             default -> {
--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -9,6 +9,8 @@
 import grebewick.core.Logic;
 import grebewick.core.Timers;
 import grebewick.discovery.Subset;
+import grebewick.discovery.transfer.DiscoveryConfig;
+import grebewick.discovery.transfer.DnsTransferClient;
 import grebewick.lifecycle.ActivityCount;
 import grebewick.lifecycle.PendingWork;
 import grebewick.names.FleetPoller;
@@ -17,6 +19,7 @@
 import grebewick.trunk.Trunk;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.security.SecureRandom;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -25,10 +28,14 @@
 public final class Node {
     /** Connections accepted and not yet seen, files (38 counted in a fleet day) and what else is no connection. */
     private static final int KEPT_BACK = Daemon.UNSEEN + 48;
+    /** Connections for transfers of the list, beside its one datagram socket. */
+    private static final int TRANSFERS = 2;
     private static final int LEAST_TO_SERVERS = 16;
 
     private final Vertx vertx;
     private final NodeConfig config;
+    private final DiscoveryConfig discovery;
+    private final Clock clock;
     private final Timers timers;
     private final Consumer<String> log;
     private final Trunk trunk;
@@ -37,14 +44,23 @@
     private final SipFront front;
     private PeerLink peers;
     private FleetPoller poller;
+    private DnsTransferClient transfers;
 
-    /** Wires the parts; {@link #start} opens the sockets. */
+    /** A gatekeeper whose list is that of the platform's name service. */
     public Node(Vertx vertx, NodeConfig config, Clock clock, Timers timers, Consumer<String> log) {
+        this(vertx, config, null, clock, timers, log);
+    }
+
+    /** Wires the parts; {@link #start} opens the sockets. {@code discovery} null: as the other constructor. */
+    public Node(Vertx vertx, NodeConfig config, DiscoveryConfig discovery, Clock clock, Timers timers, Consumer<String> log) {
         this.vertx = vertx;
         this.config = config;
+        this.discovery = discovery;
+        this.clock = clock;
         this.timers = timers;
         this.log = log;
-        int connections = Math.max(LEAST_TO_SERVERS, config.sockets() - SipFront.mostLines(config.sockets()) - KEPT_BACK);
+        int keptBack = KEPT_BACK + (discovery == null ? 0 : TRANSFERS);
+        int connections = Math.max(LEAST_TO_SERVERS, config.sockets() - SipFront.mostLines(config.sockets()) - keptBack);
         trunk = new Trunk(vertx, config.settings(), connections, clock, timers, log);
         core = new Gatekeeper<>(config.settings(), new Logic(config.settings(), config.seed()), clock, timers, trunk,
             (peer, bytes) -> {
@@ -68,7 +84,11 @@
             peers.listen(config.peerListen()).onFailure(e -> log.accept("peers: " + e.getMessage()));
         }
         tell(Scope.PERSISTED, config.known());
-        if (config.names() != null) {
+        if (discovery != null) {
+            transfers = new DnsTransferClient(vertx, clock, timers, new SecureRandom(), discovery, config.known(),
+                list -> tell(Scope.COMPLETE, list), log);
+            transfers.start();
+        } else if (config.names() != null) {
             poller = new FleetPoller(vertx, timers, config.names(), config.index(), config.known(),
                 list -> tell(Scope.COMPLETE, list), log);
             poller.start();
@@ -76,8 +96,14 @@
         return front.listen(config.listen()).map(server -> server.actualPort());
     }
 
-    /** A new configuration, under load: the name service may have moved. All else holds until a restart. */
-    public void reload(NodeConfig next) {
+    /**
+     * A new configuration, under load: the name service may have moved, zones and replicas may be others. All else holds
+     * until a restart.
+     */
+    public void reload(NodeConfig next, DiscoveryConfig nextDiscovery) {
+        if (transfers != null && nextDiscovery != null) {
+            transfers.configure(nextDiscovery);
+        }
         if (poller != null && next.names() != null) {
             poller.move(next.names());
         }
@@ -87,6 +113,7 @@
     /** Closes every socket at once, whatever is open: what a killed process leaves. Timers are the owner's to stop. */
     public Future<Void> close() {
         return Future.join(front.close(), trunk.close(), poller == null ? Future.succeededFuture() : poller.close(),
+            transfers == null ? Future.succeededFuture() : transfers.close(),
             peers == null ? Future.succeededFuture() : peers.close()).mapEmpty();
     }
 
--- a/src/test/java/grebewick/ProcessTest.java
+++ b/src/test/java/grebewick/ProcessTest.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -34,16 +35,22 @@
     private BufferedReader log;
 
     private void start() throws IOException {
+        start(List.of(), Map.of());
+    }
+
+    private void start(List<String> options, Map<String, String> environment) throws IOException {
         Path config = folder.resolve("config.json");
         int port = s.server("s1", new TrunkDialect());
         Files.writeString(config, """
             {"name":"n0","listen":"127.0.0.1:0","seed":"1","names":"127.0.0.1:1","settings":%s,
              "known":{"index":1,"updates":[{"index":1,"snapshot":true,"endpoints":[{"name":"s1","address":"127.0.0.1:%d",
               "zone":"z0","type":"m","group":0,"status":"up","weight":1,"since_ms":0}]}]}}""".formatted(Sites.SETTINGS, port));
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "grebewick.Main", "serve")
-            .redirectErrorStream(true);
+        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        words.addAll(options);
+        words.addAll(List.of("-cp", System.getProperty("java.class.path"), "grebewick.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
+        builder.environment().putAll(environment);
         builder.environment().put("RELAY_CONFIG", config.toString());
         process = builder.start();
         log = process.inputReader();
@@ -104,4 +111,45 @@
         assertThat(ended()).isEqualTo(TERMINATED);
         assertThat(lines).noneMatch(line -> line.contains("xception"));
     }
+
+    /** What is off costs nothing: not a class of it is loaded. */
+    @Test
+    void withoutItsFileTheListsTransferIsNotLoaded() throws Exception {
+        Path loaded = folder.resolve("loaded.txt");
+        start(List.of("-Xlog:class+load:file=" + loaded), Map.of());
+        line("n0 serves at ");
+        signal("TERM");
+        assertThat(ended()).isEqualTo(TERMINATED);
+        List<String> ours = Files.readAllLines(loaded).stream().filter(line -> line.contains(" grebewick.")).toList();
+        assertThat(ours).anyMatch(line -> line.contains("grebewick.names.FleetPoller"))
+            .noneMatch(line -> line.contains("grebewick.discovery.transfer."));
+    }
+
+    @Test
+    void aFileOfTheListsTransferThatCannotWorkEndsTheStart() throws Exception {
+        Path file = folder.resolve("discovery.json");
+        Files.writeString(file, "{\"region\":\"east\",\"replicas\":[],\"zones\":[\"a.\"]}");
+        start(List.of(), Map.of("RELAY_DISCOVERY", file.toString()));
+        assertThat(ended()).isEqualTo(2);
+        assertThat(lines).containsExactly("grebewick: RELAY_DISCOVERY: discovery: field replicas is empty");
+    }
+
+    @Test
+    void onSighupTheFileOfTheListsTransferIsReadAnew() throws Exception {
+        Path file = folder.resolve("discovery.json");
+        String text = "{\"region\":\"east\",\"replicas\":[{\"address\":\"127.0.0.1:1\",\"region\":\"east\"}],\"zones\":[%s]}";
+        Files.writeString(file, text.formatted("\"a.\""));
+        start(List.of(), Map.of("RELAY_DISCOVERY", file.toString()));
+        line("server list: follows 1 zones at 1 replicas");
+        line("n0 serves at ");
+        Files.writeString(file, text.formatted(""));
+        signal("HUP");
+        line("SIGHUP: the old configuration stays: RELAY_DISCOVERY: discovery: field zones is empty");
+        Files.writeString(file, text.formatted("\"a.\",\"b.\""));
+        signal("HUP");
+        line("server list: follows 2 zones at 1 replicas");
+        signal("TERM");
+        assertThat(ended()).isEqualTo(TERMINATED);
+        assertThat(lines).noneMatch(line -> line.contains("xception"));
+    }
 }
