--- a/src/test/java/grebewick/discovery/transfer/ServerListClientTest.java
+++ b/src/test/java/grebewick/discovery/transfer/ServerListClientTest.java
@@ -310,6 +310,22 @@
         assertCurrent(client);
     }
 
+    /** The plan's 20 services in two regions: 44 KB, within the budgets. */
+    @Test
+    void fortyZonesAreThereInTime() {
+        for (int i = 0; i < 40; i++) {
+            net.primary.create("s" + i + ".east.fleet.local.", "z" + i, 7);
+        }
+        net.addReplicas(13, "east", "east-1");
+        SimClient client = net.client(net.config());
+        net.pass(IN_FORCE);
+        assertCurrent(client);
+        long bytes = client.client().bytes();
+        net.pass(100);
+        System.out.println("bytes of the start " + bytes + ", then " + (client.client().bytes() - bytes) / 100 + " a second");
+        assertThat(client.client().bytes() - bytes).as("of 8,000 a second").isLessThan(100 * 8_000);
+    }
+
     @Test
     void anotherConfigurationKeepsWhatIsHeld() {
         SimClient client = start(10);
