--- a/src/test/java/grebewick/ProcessTest.java
+++ b/src/test/java/grebewick/ProcessTest.java
@@ -33,17 +33,18 @@
     private Process process;
     private BufferedReader log;
 
-    private void start() throws IOException {
+    private void start(String... options) throws IOException {
         Path config = folder.resolve("config.json");
         int port = s.server("s1", new TrunkDialect());
         Files.writeString(config, """
             {"name":"n0","listen":"127.0.0.1:0","seed":"1","names":"127.0.0.1:1","settings":%s,
              "known":{"index":1,"updates":[{"index":1,"snapshot":true,"endpoints":[{"name":"s1","address":"127.0.0.1:%d",
               "zone":"z0","type":"m","group":0,"status":"up","weight":1,"since_ms":0}]}]}}""".formatted(Sites.SETTINGS, port));
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "grebewick.Main", "serve")
-            .redirectErrorStream(true);
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of(options));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "grebewick.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("RELAY_CONFIG", config.toString());
         process = builder.start();
         log = process.inputReader();
@@ -104,4 +105,17 @@
         assertThat(ended()).isEqualTo(TERMINATED);
         assertThat(lines).noneMatch(line -> line.contains("xception"));
     }
+
+    /** Guards the time and memory of a start: what is off is not even loaded, but for the type of its configuration. */
+    @Test
+    void whatIsOffIsNotLoadedAtTheStart() throws Exception {
+        Path loaded = folder.resolve("loaded");
+        start("-Xlog:class+load:file=" + loaded);
+        line("serves at");
+        signal("TERM");
+        assertThat(ended()).isEqualTo(TERMINATED);
+        List<String> classes = Files.readAllLines(loaded).stream().filter(line -> !line.contains(".DiameterConfig ")).toList();
+        assertThat(classes).anyMatch(line -> line.contains(" grebewick.Node "))
+            .noneMatch(line -> line.matches(".* grebewick\\.(acme|benchlink|diameter|discovery\\.[a-z]+|lab|web)\\..*"));
+    }
 }
