--- a/src/test/java/grebewick/ProcessTest.java
+++ b/src/test/java/grebewick/ProcessTest.java
@@ -152,4 +152,17 @@
         assertThat(ended()).isEqualTo(TERMINATED);
         assertThat(lines).noneMatch(line -> line.contains("xception"));
     }
+
+    /** Guards the time and memory of a start: what is off is not even loaded, but for the type of its configuration. */
+    @Test
+    void whatIsOffIsNotLoadedAtTheStart() throws Exception {
+        Path loaded = folder.resolve("loaded");
+        start(List.of("-Xlog:class+load:file=" + loaded), Map.of());
+        line("serves at");
+        signal("TERM");
+        assertThat(ended()).isEqualTo(TERMINATED);
+        List<String> classes = Files.readAllLines(loaded).stream().filter(line -> !line.contains(".DiameterConfig ")).toList();
+        assertThat(classes).anyMatch(line -> line.contains(" grebewick.Node "))
+            .noneMatch(line -> line.matches(".* grebewick\\.(acme|benchlink|diameter|discovery\\.[a-z]+|lab|web)\\..*"));
+    }
 }
