--- a/src/main/java/grebewick/discovery/replica/LimitSettings.java
+++ b/src/main/java/grebewick/discovery/replica/LimitSettings.java
@@ -8,6 +8,6 @@
  * @param queriesPerSecond that are answered; a second's worth may come at once
  */
 public record LimitSettings(int transfers, long copyBytesPerSecond, long queriesPerSecond) {
-    /** For a control machine: 10,000 queries are some tenth of a core, 8 MB a fifteenth of a Gigabit link. */
+    /** For a control machine: 8 MB a second is a fifteenth of a Gigabit link. */
     public static final LimitSettings DEFAULT = new LimitSettings(64, 8_000_000, 10_000);
 }
--- a/src/main/java/grebewick/lab/ReplicaCostBench.java
+++ b/src/main/java/grebewick/lab/ReplicaCostBench.java
@@ -26,10 +26,11 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /**
  * What a replica spends on a query and on a whole copy: processor time of one thread over queries that are decoded, answered
- * and encoded, without sockets. Prints a table and writes {@code target/replica-cost.json}; ends by itself.
+ * and encoded, without sockets, and of the event loop of a server that is asked over loopback. Prints a table and writes {@code target/replica-cost.json}; ends by itself.
  */
 public final class ReplicaCostBench {
     private static final int[] SIZES = {10, 190, 3_800};
@@ -48,7 +49,7 @@
 
     /** One way to ask; gives the bytes of the answer. */
     private interface Work {
-        int run() throws TransferException;
+        int run() throws TransferException, IOException;
     }
 
     private ReplicaCostBench() {}
@@ -64,7 +65,7 @@
         write(rows, loadBefore);
     }
 
-    private static void measure(int size, List<Row> rows) throws TransferException {
+    private static void measure(int size, List<Row> rows) throws Exception {
         ReplicaState state = new ReplicaState(new HistoryLimits(64, 1 << 20), NO_LIMITS, 0);
         state.serve(List.of(ZONE));
         ZoneContent first = content(FIRST, size, Stage.HEALTHY);
@@ -74,9 +75,17 @@
         byte[] current = query(Optional.of(second.version()));
         byte[] behind = query(Optional.of(FIRST));
         byte[] nothing = query(Optional.empty());
-        rows.add(row("query, nothing new", size, QUERIES, () -> datagram(state, current)));
-        rows.add(row("query, one change", size, QUERIES, () -> datagram(state, behind)));
-        rows.add(row("whole copy", size, COPIED_SERVERS / size, () -> stream(state, nothing)));
+        LongSupplier own = THREADS::getCurrentThreadCpuTime;
+        rows.add(row("query, nothing new", size, QUERIES, own, () -> datagram(state, current)));
+        rows.add(row("query, one change", size, QUERIES, own, () -> datagram(state, behind)));
+        rows.add(row("whole copy", size, COPIED_SERVERS / size, own, () -> stream(state, nothing)));
+        int messages = messages(state, nothing);
+        try (ReplicaSocketCost sockets = new ReplicaSocketCost(state)) {
+            rows.add(row("UDP, nothing new", size, QUERIES / 4, sockets::cpuNs, () -> sockets.datagram(current)));
+            rows.add(row("UDP, one change", size, QUERIES / 4, sockets::cpuNs, () -> sockets.datagram(behind)));
+            rows.add(row("TCP, whole copy", size, Math.min(1_000, COPIED_SERVERS / size), sockets::cpuNs,
+                () -> sockets.stream(nothing, messages)));
+        }
     }
 
     private static ZoneContent content(ZoneVersion version, int size, Stage firstStage) {
@@ -99,6 +108,17 @@
         return TransferCodec.encodeDatagram(request, state.answer(request, Transport.DATAGRAM, 0)).length;
     }
 
+    private static int messages(ReplicaState state, byte[] query) throws TransferException {
+        TransferRequest request = TransferCodec.decodeQuery(query);
+        int messages = 0;
+        Iterator<byte[]> each = TransferCodec.encodeStream(request, state.answer(request, Transport.STREAM, 0));
+        for (; each.hasNext(); each.next()) {
+            messages++;
+        }
+        state.transferEnded();
+        return messages;
+    }
+
     private static int stream(ReplicaState state, byte[] query) throws TransferException {
         TransferRequest request = TransferCodec.decodeQuery(query);
         int bytes = 0;
@@ -110,16 +130,16 @@
         return bytes;
     }
 
-    private static Row row(String what, int size, int times, Work work) throws TransferException {
+    private static Row row(String what, int size, int times, LongSupplier cpuNs, Work work) throws Exception {
         double[] us = new double[ROUNDS];
         int bytes = 0;
         // Once more, for the compiler.
         for (int round = -1; round < ROUNDS; round++) {
-            long startNs = THREADS.getCurrentThreadCpuTime();
+            long startNs = cpuNs.getAsLong();
             for (int i = 0; i < times; i++) {
                 bytes = work.run();
             }
-            double perTime = (THREADS.getCurrentThreadCpuTime() - startNs) / NS_PER_US / times;
+            double perTime = (cpuNs.getAsLong() - startNs) / NS_PER_US / times;
             if (round >= 0) {
                 us[round] = perTime;
             }
