--- a/src/main/java/grebewick/lab/ReplicaCostBench.java
+++ b/src/main/java/grebewick/lab/ReplicaCostBench.java
@@ -30,7 +30,8 @@
 
 /**
  * What a replica spends on a query and on a whole copy: processor time of one thread over queries that are decoded, answered
- * and encoded, without sockets, and of the event loop of a server that is asked over loopback. Prints a table and writes {@code target/replica-cost.json}; ends by itself.
+ * and encoded, without sockets, and of the event loop of a server that is asked over loopback. Prints a table and writes
+ * {@code target/replica-cost.json}; ends by itself.
  */
 public final class ReplicaCostBench {
     private static final int[] SIZES = {10, 190, 3_800};
