--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Tasks for people; .ci/run calls `test`.
-.PHONY: build test lint bench-load run clean
+.PHONY: build test lint bench-load bench-control bench-latency bench-fleet run clean
 
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"   \#.*/\1/p' deploy/balancer.toml)
 LAB = 'target/grebewick.jar:target/lib/*:target/lab-lib/*'
@@ -20,6 +20,15 @@
 bench-load: build ## 20 s of calls at one gatekeeper as deploy/balancer.toml runs it, all of them cut at once in between
 	java -cp $(LAB) grebewick.lab.LoadGenerator --rate=100 --hold=5000 --cut=12 -- $(RUN)
 
+bench-control: build ## bytes, processor time, memory of one gatekeeper without calls, by servers and changes; some 9 min
+	java -cp $(LAB) grebewick.lab.ControlCostBench -- $(RUN)
+
+bench-latency: build ## latency that one gatekeeper adds at 118 calls a second; some 4 min, on an idle machine
+	java -cp $(LAB) grebewick.lab.LatencyBench --ways=DIRECT,GATEKEEPER,PROBED,PROBED_NETTY -- $(RUN)
+
+bench-fleet: build ## how the list of servers spreads over hollow gatekeepers; some 8 min
+	java -cp $(LAB) grebewick.lab.fleet.HollowFleet
+
 run: build        ## the Diameter front on loopback, as deploy/diameter.json says
 	RELAY_DIAMETER=deploy/diameter.json java -jar target/grebewick.jar serve
 
