ActivityCount moves to eventloop: no cycle over lifecycle and lab

Cause: the lab's ProbedGatekeeper uses eventloop, the training run in lifecycle uses the lab, and the loop's monitor used lifecycle's ActivityCount: ArchitectureTest failed on the joined sources. Change: the class moves.

--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -11,7 +11,7 @@
 import grebewick.discovery.Subset;
 import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.discovery.transfer.DnsTransferClient;
-import grebewick.lifecycle.ActivityCount;
+import grebewick.eventloop.ActivityCount;
 import grebewick.lifecycle.PendingWork;
 import grebewick.membership.PeerDatagrams;
 import grebewick.names.FleetPoller;
