Move ActivityCount from lifecycle to eventloop

Cause: ArchitectureTest found a cycle in the merged sources: eventloop, lifecycle, lab, eventloop. Change: the count of what the loop has done goes to the loop's package; only the package changes.

--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -9,7 +9,7 @@
 import grebewick.core.Logic;
 import grebewick.core.Timers;
 import grebewick.discovery.Subset;
-import grebewick.lifecycle.ActivityCount;
+import grebewick.eventloop.ActivityCount;
 import grebewick.lifecycle.PendingWork;
 import grebewick.membership.PeerDatagrams;
 import grebewick.names.FleetPoller;
--- a/src/main/java/grebewick/lifecycle/ActivityCount.java
+++ b/src/main/java/grebewick/eventloop/ActivityCount.java
@@ -1,4 +1,4 @@
-package grebewick.lifecycle;
+package grebewick.eventloop;
 
 /** What the event loop has done since the start: messages from callers and from servers, and ends of calls told. */
 public record ActivityCount(long fromCallers, long fromServers, long endsTold) {
--- a/src/main/java/grebewick/eventloop/LoopLagMonitor.java
+++ b/src/main/java/grebewick/eventloop/LoopLagMonitor.java
@@ -2,7 +2,6 @@
 
 import grebewick.core.Clock;
 import grebewick.core.Timers;
-import grebewick.lifecycle.ActivityCount;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
--- a/src/main/java/grebewick/lifecycle/GracefulShutdown.java
+++ b/src/main/java/grebewick/lifecycle/GracefulShutdown.java
@@ -2,6 +2,7 @@
 
 import grebewick.core.Clock;
 import grebewick.core.Timers;
+import grebewick.eventloop.ActivityCount;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
--- a/src/test/java/grebewick/eventloop/LoopLagMonitorTest.java
+++ b/src/test/java/grebewick/eventloop/LoopLagMonitorTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import grebewick.lifecycle.ActivityCount;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/grebewick/lifecycle/GracefulShutdownTest.java
+++ b/src/test/java/grebewick/lifecycle/GracefulShutdownTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import grebewick.eventloop.ActivityCount;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
