--- a/src/main/java/grebewick/discovery/transfer/ByteBudget.java
+++ b/src/main/java/grebewick/discovery/transfer/ByteBudget.java
@@ -2,8 +2,8 @@
 
 /**
  * A token bucket of bytes. What was used may exceed what is left, as the size of an answer is known afterwards; nothing more
- * may be started until the debt is paid. So the bytes used in any {@code t} seconds are at most rate x t, the burst, and the
- * last thing started.
+ * may be started until the debt is paid. So the bytes used in any {@code t} seconds are at most rate x t, the burst, and
+ * what was under way at one moment.
  */
 public final class ByteBudget {
     private static final double US_PER_S = 1_000_000;
