Reconnect to servers by backoff and budget; no second attempt for a call that is over

Cause: servers that close idle connections after about 0.55 s were connected to again at once, for each of their connections and without end. The lost ends are another cause: a server's release overtook its late answer. The call had stood and was over, the gatekeeper took the end for a reset and tried again under the same id.

Change: TokenBucket, ReconnectBackoff, ReconnectBudget and ServerReconnects decide when a connection is opened again: exponential backoff with jitter after breaks (0.5 s at most) and after idle closes (2 s at most), a budget per server and per gatekeeper, counted and logged; one connection instead of two is kept where the server closes idle ones. An end with cause 16 before the answer, and one with cause 41 in the moment in which the server cuts standing calls (CutDetector), fails the call and is not tried again.

--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -22,6 +22,7 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 
 /** The platform's gatekeeper: callers by SIP, recipe servers by the binary protocol. All calls on one event loop. */
@@ -61,7 +62,8 @@
         this.log = log;
         int keptBack = KEPT_BACK + (discovery == null ? 0 : TRANSFERS);
         int connections = Math.max(LEAST_TO_SERVERS, config.sockets() - SipFront.mostLines(config.sockets()) - keptBack);
-        trunk = new Trunk(vertx, config.settings(), connections, clock, timers, log);
+        trunk = new Trunk(vertx, config.settings(), connections, new Random(config.seed() ^ config.name().hashCode()), clock,
+                timers, log);
         core = new Gatekeeper<>(config.settings(), new Logic(config.settings(), config.seed()), clock, timers, trunk,
             (peer, bytes) -> {
                 if (peers != null) {
--- a/src/main/java/grebewick/lab/ProbedGatekeeper.java
+++ b/src/main/java/grebewick/lab/ProbedGatekeeper.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -87,7 +88,7 @@
         long zeroUs = System.currentTimeMillis() * 1000 - Pacer.nowUs();
         Clock clock = () -> zeroUs + Pacer.nowUs();
         Consumer<String> log = System.err::println;
-        Trunk trunk = new Trunk(vertx, config.settings(), config.sockets() / 2, clock, timers, log);
+        Trunk trunk = new Trunk(vertx, config.settings(), config.sockets() / 2, new Random(config.seed()), clock, timers, log);
         Gatekeeper<byte[]> core = new Gatekeeper<>(config.settings(), probed(new Logic(config.settings(), config.seed())), clock,
             timers, trunk, (peer, bytes) -> {}, log);
         trunk.attach(core);
--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -21,10 +21,10 @@
     /** Connections kept up, and the most while set-ups wait on all of them. */
     private static final int SPARE = 2;
     private static final int MOST = 6;
-    /** us. Between tries to connect. */
-    private static final long RETRY_US = 300_000;
-    /** Connections lost in a row without a word: the next ones are not tried at once. */
-    private static final int MOST_MUTE = 4;
+    /** us. Until the descriptors may bear one more. */
+    private static final long QUOTA_RETRY_US = 300_000;
+    /** us. Silence of a connection after which it is in doubt once a further one does not come up. */
+    private static final long DOUBT_US = 300_000;
     /** us. For what is open on a connection that takes nothing new. */
     private static final long OLD_US = 5_000_000;
     /** us. After which a server that is gone from the list has nothing more to say. */
@@ -53,6 +53,7 @@
     }
 
     final String id;
+    final CutDetector cuts = new CutDetector();
     long launchedUs;
     /** The list says so: it ends its calls, and gets no more. */
     boolean drains;
@@ -67,16 +68,18 @@
     private Address address;
     private boolean connecting;
     private boolean listed = true;
-    private long notBeforeUs = Long.MIN_VALUE;
-    private int mute;
+    private final ServerReconnects reconnects;
+    private Runnable cancelRetry = () -> {};
+    private long retryUs = Long.MAX_VALUE;
     private boolean unreachable;
     /** A set-up found no connection that took it. */
     private boolean starved;
     /** A connection broke off: what was on its way to here comes again on the next one to be opened, and only there. */
     private boolean renew;
 
-    Line(String id, Address address, long launchedUs, NetClient client, Quota quota, Clock clock, Timers timers,
-         Owner owner, Consumer<String> log) {
+    Line(String id, Address address, long launchedUs, NetClient client, Quota quota, ServerReconnects reconnects,
+         Clock clock, Timers timers, Owner owner, Consumer<String> log) {
+        this.reconnects = reconnects;
         this.id = id;
         this.address = address;
         this.launchedUs = launchedUs;
@@ -105,7 +108,7 @@
             }
         }
         if (best == null) {
-            connect(again != null);
+            connect(true);
             best = connecting ? null : again;
         } else if (best.open() > 0 && usable() < MOST) {
             connect();
@@ -152,6 +155,7 @@
         address = now;
         launchedUs = Math.max(launched, launchedUs);
         if (anew) {
+            reconnects.restarted();
             // The list is late: what has come up since the start it tells of is the new process's already.
             List.copyOf(links).stream().filter(l -> moved || l.sinceUs <= launched).forEach(this::retire);
             connect();
@@ -174,7 +178,12 @@
 
     /** {@code needed}: a set-up can't go out on those that are up. */
     private void connect(boolean needed) {
-        if (connecting || !listed || usable() >= MOST && !renew || clock.nowUs() < notBeforeUs) {
+        if (connecting || !listed || usable() >= MOST && !renew) {
+            return;
+        }
+        long waitUs = reconnects.tryOpen(needed, clock.nowUs());
+        if (waitUs > 0) {
+            retryAfter(waitUs);
             return;
         }
         // One that follows a break is no spare one: releases come again on it alone.
@@ -182,6 +191,7 @@
             if (usable() == 0) {
                 unreached(false);
             }
+            retryAfter(QUOTA_RETRY_US);
             return;
         }
         connecting = true;
@@ -203,6 +213,7 @@
         Link link = new Link(socket, clock.nowUs());
         links.add(link);
         unreachable = false;
+        starved = false;
         socket.handler(bytes -> read(link, bytes));
         socket.exceptionHandler(e -> {
             link.broken = true;
@@ -267,30 +278,44 @@
         quota.give();
         // Not after a farewell, which leaves nothing on its way.
         renew |= listed && (link.broken || !link.finishing);
-        owner.lost(this, link);
-        mute = link.heard ? 0 : mute + 1;
-        if (mute >= MOST_MUTE) {
-            // Guards against a server that takes connections and resets each.
-            notBeforeUs = clock.nowUs() + RETRY_US;
-            timers.after(RETRY_US, this::refill);
-        } else if (links.isEmpty()) {
-            // Whether the process is gone is to be known at once.
-            notBeforeUs = Long.MIN_VALUE;
+        if (link.broken || link.open() > 0) {
+            reconnects.broke(link.sinceUs, clock.nowUs());
+        } else if (!link.finishing) {
+            reconnects.closed(link.sinceUs, link.usedUs, clock.nowUs());
         }
+        owner.lost(this, link);
         refill();
     }
 
+    private int kept() {
+        return reconnects.spare(quota.spare(SPARE), clock.nowUs());
+    }
+
     private void refill() {
-        if (usable() < quota.spare(SPARE) || renew) {
-            connect();
+        if (starved || renew || usable() < kept()) {
+            connect(starved);
+        }
+    }
+
+    /** Holds up what {@link #connect} could not do yet. */
+    private void retryAfter(long waitUs) {
+        long atUs = clock.nowUs() + waitUs;
+        if (atUs < retryUs) {
+            cancelRetry.run();
+            retryUs = atUs;
+            cancelRetry = timers.after(waitUs, () -> {
+                retryUs = Long.MAX_VALUE;
+                refill();
+            });
         }
     }
 
     private void failed(Throwable cause) {
+        reconnects.failed(clock.nowUs());
         boolean refused = cause instanceof ConnectException && String.valueOf(cause.getMessage()).contains("refused");
         if (!refused) {
             // Guards against a machine that vanished: its connections stay open and silent for ever.
-            long doubtUs = clock.nowUs() - RETRY_US;
+            long doubtUs = clock.nowUs() - DOUBT_US;
             for (Link link : List.copyOf(links)) {
                 if (link.heardUs < doubtUs) {
                     drop(link);
@@ -299,13 +324,13 @@
         }
         // With a connection left the process runs, and only takes no more of them.
         unreached(refused && links.isEmpty());
+        refill();
     }
 
     private void unreached(boolean dead) {
         unreachable = true;
-        notBeforeUs = clock.nowUs() + RETRY_US;
+        starved = false;
         owner.unreachable(this, dead);
-        timers.after(RETRY_US, this::refill);
     }
 
     boolean isOpen(Link link) {
@@ -366,7 +391,7 @@
                 // It got stuck just after.
                 dropOrphan(link);
             } else if (link.legs.isEmpty()
-                && (link.retired || usable() > quota.spare(SPARE) && nowUs - link.usedUs >= UNUSED_US)) {
+                && (link.retired || usable() > kept() && nowUs - link.usedUs >= UNUSED_US)) {
                 finish(link);
             }
         }
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -25,6 +25,7 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 /** The recipe servers over their binary protocol: one line to each, and the calls that are on them. */
 public final class Trunk implements Servers<byte[]>, Line.Owner {
@@ -38,6 +39,8 @@
     private final Timers timers;
     private final NetClient client;
     private final Quota quota;
+    private final ReconnectBudget budget;
+    private final RandomGenerator random;
     private final Reports reports;
     private final long probeUs;
     private final long doubtUs;
@@ -60,9 +63,15 @@
     private long nextProbe = 1;
     private long taken;
 
-    /** Makes the trunk side, of so many connections at the most; {@link #attach} gives it its core before anything is listed. */
-    public Trunk(Vertx vertx, Settings set, int connections, Clock clock, Timers timers, Consumer<String> log) {
+    /**
+     * Makes the trunk side, of so many connections at the most, and with a source of randomness for delays;
+     * {@link #attach} gives it its core before anything is listed.
+     */
+    public Trunk(Vertx vertx, Settings set, int connections, RandomGenerator random, Clock clock, Timers timers,
+                 Consumer<String> log) {
+        this.random = random;
         quota = new Quota(connections);
+        budget = new ReconnectBudget(connections, log);
         this.clock = clock;
         this.timers = timers;
         this.log = log;
@@ -144,7 +153,8 @@
                 }
                 line.update(e.address(), e.entry().launchedUs());
             } else {
-                line = new Line(id, e.address(), e.entry().launchedUs(), client, quota, clock, timers, this, log);
+                line = new Line(id, e.address(), e.entry().launchedUs(), client, quota, new ServerReconnects(budget, random),
+                    clock, timers, this, log);
                 lines.put(id, line);
                 line.connect();
             }
@@ -351,9 +361,14 @@
             return;
         }
         List<Double> report = reports.read(m.report());
+        // A server ends a call with this cause once it has stood: the answer is late, and was overtaken.
+        boolean overBeforeItsAnswer = !leg.stands && m.cause() == NORMAL_CLEARING && !on.hadAttempt(m.call());
         forget(leg);
         if (leg.stands) {
             core.over(leg.call, m.cause() == NORMAL_CLEARING ? Ending.NORMAL : Ending.CUT, report);
+            if (m.cause() == TEMPORARY_FAILURE) {
+                line.cuts.cut(clock.nowUs()).forEach(core::answer);
+            }
             return;
         }
         State state = switch (m.cause()) {
@@ -363,6 +378,12 @@
             default -> State.RESET_BY_PEER;
         };
         core.ended(leg.call, leg.copy, state, why(m.note()), report);
+        boolean cutBeforeItsAnswer = m.cause() == TEMPORARY_FAILURE && line.cuts.reset(leg.call, clock.nowUs());
+        if (overBeforeItsAnswer || cutBeforeItsAnswer) {
+            // Guards against a second attempt for a call that has stood and is over: its caller has to be told of that
+            // within a second, and could be told only together with the end of the second, as they share the call's id.
+            core.answer(leg.call);
+        }
     }
 
     /** The module's number for a note; a figure behind it is a wait in milliseconds. */
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -21,6 +21,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -194,7 +195,7 @@
 
     private Trunk trunk(ServerSocket server) throws IOException {
         server.setSoTimeout(20_000);
-        Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, s.clock, s.clock, log::add));
+        Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, new Random(1), s.clock, s.clock, log::add));
         s.on(() -> {
             trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> {}, s.clock, s.clock, trunk,
                 (peer, bytes) -> {}, log::add));
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -21,6 +21,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -207,7 +208,7 @@
     @Test
     void aSetUpWhoseBytesAreStuckDoesNotReachAServerThatDrains() throws IOException {
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
-            Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 2, s.clock, s.clock, log::add));
+            Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 2, new Random(1), s.clock, s.clock, log::add));
             s.on(() -> {
                 trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> {}, s.clock, s.clock, trunk,
                     (peer, bytes) -> {}, log::add));
