--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/Line.java
@@ -72,6 +72,8 @@
     private Runnable cancelRetry = () -> {};
     private long retryUs = Long.MAX_VALUE;
     private boolean unreachable;
+    /** A further connection was refused while others were up: once the last of them is lost, that is to be asked again. */
+    private boolean refusedBesideOthers;
     /** A set-up found no connection that took it. */
     private boolean starved;
     /** A connection broke off: what was on its way to here comes again on the next one to be opened, and only there. */
@@ -213,6 +215,7 @@
         Link link = new Link(socket, clock.nowUs());
         links.add(link);
         unreachable = false;
+        refusedBesideOthers = false;
         starved = false;
         socket.handler(bytes -> read(link, bytes));
         socket.exceptionHandler(e -> {
@@ -283,6 +286,11 @@
         } else if (!link.finishing) {
             reconnects.closed(link.sinceUs, link.usedUs, clock.nowUs());
         }
+        if (links.isEmpty() && refusedBesideOthers) {
+            // Whether the process is gone is to be known at once.
+            refusedBesideOthers = false;
+            reconnects.retryNow();
+        }
         owner.lost(this, link);
         refill();
     }
@@ -322,6 +330,7 @@
                 }
             }
         }
+        refusedBesideOthers = refused && !links.isEmpty();
         // With a connection left the process runs, and only takes no more of them.
         unreached(refused && links.isEmpty());
         refill();
--- a/src/main/java/grebewick/trunk/ServerReconnects.java
+++ b/src/main/java/grebewick/trunk/ServerReconnects.java
@@ -90,6 +90,12 @@
         noSpareBeforeUs = Long.MIN_VALUE;
     }
 
+    /** The next try is due at once, if the budgets allow it. */
+    void retryNow() {
+        breaks.reset();
+        idles.reset();
+    }
+
     /** Connections to keep up, of those that the descriptors bear. */
     int spare(int borne, long nowUs) {
         return nowUs < noSpareBeforeUs ? Math.min(1, borne) : borne;
