--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -63,7 +63,7 @@
         int keptBack = KEPT_BACK + (discovery == null ? 0 : TRANSFERS);
         int connections = Math.max(LEAST_TO_SERVERS, config.sockets() - SipFront.mostLines(config.sockets()) - keptBack);
         trunk = new Trunk(vertx, config.settings(), connections, new Random(config.seed() ^ config.name().hashCode()), clock,
-                timers, log);
+            timers, log);
         core = new Gatekeeper<>(config.settings(), new Logic(config.settings(), config.seed()), clock, timers, trunk,
             (peer, bytes) -> {
                 if (peers != null) {
