Lab: HollowFleet over replicas and incremental transfers, beside the polled list

One primary and so many replicas, each on an event loop of its own in the tool's process; hollow gatekeepers follow the zones of the services that they call with the gatekeeper's own client and its usual budgets.

--- a/src/main/java/grebewick/lab/fleet/Distribution.java
+++ b/src/main/java/grebewick/lab/fleet/Distribution.java
@@ -1,9 +1,14 @@
 package grebewick.lab.fleet;
 
+import grebewick.config.Address;
+import grebewick.discovery.transfer.DiscoveryConfig;
+import grebewick.discovery.transfer.DnsTransferClient;
 import grebewick.names.FleetPoller;
 import io.vertx.core.Future;
 import java.util.List;
+import java.util.Random;
 import java.util.function.IntFunction;
+import java.util.stream.Collectors;
 
 /** Ways in which the list reaches gatekeepers: the client's side and the control machines' side of each. */
 public enum Distribution {
@@ -21,8 +26,28 @@
                 return poller.close();
             }
         };
+    }),
+
+    /** Each gatekeeper follows the zones of the services that it calls at replicas, by incremental transfers. */
+    TRANSFER(ReplicaControlPlane::new, (vertx, clock, timers, machines, zones, seed, news, log) -> {
+        DnsTransferClient client = new DnsTransferClient(vertx, clock, timers, new Random(seed), config(machines, zones),
+            List.of(),
+            news, log);
+        return new ServerListSource() {
+            @Override
+            public void start() {
+                client.start();
+            }
+
+            @Override
+            public Future<Void> close() {
+                return client.close();
+            }
+        };
     });
 
+    private static final String REGION = "east";
+
     private final IntFunction<ControlPlane> controlPlane;
     private final ServerListSource.Factory sources;
 
@@ -31,6 +56,14 @@
         this.sources = sources;
     }
 
+    /** With the budgets that a configuration file has where it names none. */
+    private static DiscoveryConfig config(List<Address> machines, List<String> zones) {
+        String replicas = machines.stream().map(a -> "{\"address\":\"" + a.host() + ":" + a.port() + "\",\"region\":\"" + REGION
+            + "\"}").collect(Collectors.joining(","));
+        String names = zones.stream().map(zone -> '"' + zone + '"').collect(Collectors.joining(","));
+        return DiscoveryConfig.parse("{\"region\":\"" + REGION + "\",\"replicas\":[" + replicas + "],\"zones\":[" + names + "]}");
+    }
+
     /** Servers in the whole list of a gatekeeper. */
     int listedFor(FleetPlan plan, int gatekeeper) {
         return this == POLL ? plan.servers() : plan.listedFor(gatekeeper);
--- a/src/main/java/grebewick/lab/fleet/HollowFleet.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleet.java
@@ -130,8 +130,9 @@
             this.table = table;
             plan = new FleetPlan(listed, Math.min(services, listed), Math.min(called, Math.min(services, listed)));
             hosts = new ArrayList<>(StandInFleet.hosts(listed, List.of(START_SERVER_PORT)));
-            machines = control.open();
+            machines = control.open(plan);
             control.publish(hosts, plan);
+            control.awaitReady();
             List<String> addresses = machines.stream().map(a -> a.host() + ":" + a.port()).toList();
             for (int i = 0; i < workers; i++) {
                 int from = i * count / workers;
--- a/src/main/java/grebewick/lab/fleet/PolledNameService.java
+++ b/src/main/java/grebewick/lab/fleet/PolledNameService.java
@@ -20,7 +20,7 @@
     private int port;
 
     @Override
-    public List<Address> open() throws Exception {
+    public List<Address> open(FleetPlan plan) throws Exception {
         port = Futures.await(names.listen());
         return List.of(new Address(LOOPBACK, port));
     }
@@ -34,6 +34,11 @@
         });
     }
 
+    @Override
+    public void awaitReady() {
+        // It is told the list, and asks nobody.
+    }
+
     @Override
     public synchronized Traffic traffic(int machine) {
         return before.plus(names.traffic());
