--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -1,6 +1,6 @@
 package grebewick;
 
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.config.NodeConfig;
 import grebewick.core.CallControl.Grade;
 import grebewick.core.CallControl.Settings;
@@ -107,7 +107,7 @@
             String file = env.get("RELAY_DISCOVERY");
             DiscoveryConfig nextDiscovery = file == null ? null : DiscoveryConfig.load(file);
             vertx.runOnContext(v -> node.reload(next, nextDiscovery));
-        } catch (BadConfig e) {
+        } catch (ConfigurationException e) {
             log("SIGHUP: the old configuration stays: " + e.getMessage());
         }
     }
--- a/src/main/java/grebewick/Main.java
+++ b/src/main/java/grebewick/Main.java
@@ -1,7 +1,7 @@
 package grebewick;
 
 import grebewick.benchlink.Adapter;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.config.NodeConfig;
 import grebewick.diameter.DiameterConfig;
 import grebewick.discovery.replica.ReplicaProcess;
@@ -36,13 +36,13 @@
                     String discovery = env.get("RELAY_DISCOVERY");
                     boolean isPlatformOff = diameter != null && !env.containsKey("RELAY_CONFIG");
                     if (discovery != null && isPlatformOff) {
-                        throw new BadConfig("RELAY_DISCOVERY: there is no RELAY_CONFIG whose servers it could list");
+                        throw new ConfigurationException("RELAY_DISCOVERY: there is no RELAY_CONFIG whose servers it could list");
                     }
                     // With a Diameter file alone there is no platform, and so no configuration of one.
                     Daemon.start(isPlatformOff ? null : NodeConfig.load(env),
                         discovery == null ? null : DiscoveryConfig.load(discovery),
                         diameter == null ? null : DiameterConfig.load(diameter), env, reload);
-                } catch (BadConfig e) {
+                } catch (ConfigurationException e) {
                     System.err.println("grebewick: " + e.getMessage());
                     System.exit(2);
                 }
@@ -70,7 +70,7 @@
         } catch (IllegalStateException e) {
             // The signal came first: the process is already ending.
             return;
-        } catch (BadConfig e) {
+        } catch (ConfigurationException e) {
             System.err.println("grebewick: " + e.getMessage());
             System.exit(2);
         }
--- a/src/main/java/grebewick/discovery/replica/MarkFile.java
+++ b/src/main/java/grebewick/discovery/replica/MarkFile.java
@@ -2,11 +2,10 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import grebewick.benchlink.Codec;
-import grebewick.benchlink.Fields;
-import grebewick.benchlink.WireException;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.discovery.transfer.ZoneVersion;
+import grebewick.json.Fields;
+import grebewick.json.JsonException;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.channels.FileChannel;
@@ -35,7 +34,7 @@
     /** The epoch and marks that were kept, without contents; with the epoch given where there is no such file. */
     PrimaryZones read(long newEpoch) {
         try {
-            Fields file = new Fields(path.toString(), Fields.asObject(path.toString(), Codec.parse(Files.readString(path))));
+            Fields file = Fields.parse(path.toString(), Files.readString(path));
             Fields zones = file.object("zones");
             Map<String, ZoneMark> marks = new LinkedHashMap<>();
             for (String zone : zones.values().keySet()) {
@@ -47,9 +46,9 @@
         } catch (NoSuchFileException e) {
             return new PrimaryZones(newEpoch, Map.of(), Map.of());
         } catch (IOException e) {
-            throw new BadConfig(path + ": cannot be read: " + e);
-        } catch (WireException | IllegalArgumentException e) {
-            throw new BadConfig(path + ": " + e.getMessage());
+            throw new ConfigurationException(path + ": cannot be read: " + e);
+        } catch (JsonException | IllegalArgumentException e) {
+            throw new ConfigurationException(path + ": " + e.getMessage());
         }
     }
 
--- a/src/main/java/grebewick/discovery/replica/PrimarySource.java
+++ b/src/main/java/grebewick/discovery/replica/PrimarySource.java
@@ -1,6 +1,6 @@
 package grebewick.discovery.replica;
 
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.io.IOException;
@@ -23,7 +23,7 @@
      * Reads the zones for the first time, before the event loop has anything to do.
      *
      * @param newEpoch the epoch where none was kept: the Unix time in ms
-     * @throws BadConfig a file cannot be read or written, or cannot work
+     * @throws ConfigurationException a file cannot be read or written, or cannot work
      */
     PrimarySource(Vertx vertx, Path file, Path marks, long newEpoch) {
         this.vertx = vertx;
@@ -38,15 +38,15 @@
         try {
             next = zones.next(ZoneFile.parse(Files.readString(file)));
         } catch (IOException e) {
-            throw new BadConfig(file + ": cannot be read: " + e);
-        } catch (BadConfig e) {
-            throw new BadConfig(file + ": " + e.getMessage());
+            throw new ConfigurationException(file + ": cannot be read: " + e);
+        } catch (ConfigurationException e) {
+            throw new ConfigurationException(file + ": " + e.getMessage());
         }
         if (!next.marks().equals(zones.marks())) {
             try {
                 markFile.write(next);
             } catch (IOException e) {
-                throw new BadConfig(file + ": the marks of its zones cannot be written: " + e);
+                throw new ConfigurationException(file + ": the marks of its zones cannot be written: " + e);
             }
         }
         zones = next;
--- a/src/main/java/grebewick/discovery/replica/PrimaryZones.java
+++ b/src/main/java/grebewick/discovery/replica/PrimaryZones.java
@@ -1,6 +1,6 @@
 package grebewick.discovery.replica;
 
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.config.Endpoint;
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.discovery.transfer.ZoneContent;
@@ -36,7 +36,7 @@
     PrimaryZones next(Map<String, List<Endpoint>> listed) {
         for (String zone : contents.keySet()) {
             if (!listed.containsKey(zone)) {
-                throw new BadConfig("zones." + zone + " is missing; an empty list ends a zone");
+                throw new ConfigurationException("zones." + zone + " is missing; an empty list ends a zone");
             }
         }
         Map<String, ZoneMark> nextMarks = new LinkedHashMap<>(marks);
--- a/src/main/java/grebewick/discovery/replica/ReplicaConfig.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaConfig.java
@@ -1,12 +1,11 @@
 package grebewick.discovery.replica;
 
-import grebewick.benchlink.Codec;
-import grebewick.benchlink.Fields;
-import grebewick.benchlink.WireException;
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.discovery.transfer.Replica;
+import grebewick.json.Fields;
+import grebewick.json.JsonException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -44,19 +43,19 @@
         try {
             text = Files.readString(path);
         } catch (IOException e) {
-            throw new BadConfig(name + ": cannot be read: " + e);
+            throw new ConfigurationException(name + ": cannot be read: " + e);
         }
         try {
             return parse(text, path.toAbsolutePath().getParent());
-        } catch (BadConfig e) {
-            throw new BadConfig(name + ": " + e.getMessage());
+        } catch (ConfigurationException e) {
+            throw new ConfigurationException(name + ": " + e.getMessage());
         }
     }
 
     /** Reads the text of a file. */
     static ReplicaConfig parse(String text, Path folder) {
         try {
-            Fields f = new Fields("replica", Fields.asObject("replica", Codec.parse(text)));
+            Fields f = Fields.parse("replica", text);
             Address listen = address("listen", f.string("listen"));
             Fields limits = f.has("limits") ? f.object("limits") : new Fields("replica.limits", Map.of());
             LimitSettings usual = LimitSettings.DEFAULT;
@@ -74,10 +73,10 @@
                     yield new ReplicaConfig(listen, zoneFile, markFile, null, settings, history, server);
                 }
                 case "secondary" -> new ReplicaConfig(listen, null, null, follow(f), settings, history, server);
-                default -> throw new BadConfig("replica: field role is neither primary nor secondary");
+                default -> throw new ConfigurationException("replica: field role is neither primary nor secondary");
             };
-        } catch (WireException e) {
-            throw new BadConfig(e.getMessage());
+        } catch (JsonException e) {
+            throw new ConfigurationException(e.getMessage());
         }
     }
 
@@ -86,7 +85,7 @@
         List<Replica> upstreams = f.strings("upstreams").stream().map(text -> new Replica(address("upstreams", text), "", ""))
             .toList();
         if (upstreams.isEmpty()) {
-            throw new BadConfig("replica: field upstreams is missing or empty");
+            throw new ConfigurationException("replica: field upstreams is missing or empty");
         }
         return new DiscoveryConfig("", "", upstreams, zones(f), US_PER_MS * positive(f, "poll_ms", POLL_MS), TIMEOUT_US,
             TRANSFER_US, positive(f, "poll_bytes_per_s", POLL_BYTES_PER_S),
@@ -96,7 +95,7 @@
     private static List<String> zones(Fields f) {
         Set<String> zones = new LinkedHashSet<>(f.strings("zones"));
         if (zones.isEmpty()) {
-            throw new BadConfig("replica: field zones is missing or empty");
+            throw new ConfigurationException("replica: field zones is missing or empty");
         }
         zones.forEach(zone -> ZoneFile.checkName("replica: field zones", zone));
         return List.copyOf(zones);
@@ -105,15 +104,15 @@
     private static Address address(String field, String text) {
         try {
             return Address.parse(text);
-        } catch (BadConfig e) {
-            throw new BadConfig("replica: field " + field + ": " + e.getMessage());
+        } catch (ConfigurationException e) {
+            throw new ConfigurationException("replica: field " + field + ": " + e.getMessage());
         }
     }
 
     private static long positive(Fields fields, String name, long usual) {
         long value = fields.integer(name, usual);
         if (value < 1 || value > Integer.MAX_VALUE) {
-            throw new BadConfig(fields.message() + ": field " + name + " is not between 1 and " + Integer.MAX_VALUE);
+            throw new ConfigurationException(fields.message() + ": field " + name + " is not between 1 and " + Integer.MAX_VALUE);
         }
         return value;
     }
--- a/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
@@ -1,7 +1,7 @@
 package grebewick.discovery.replica;
 
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.core.Clock;
 import grebewick.core.Timers;
 import grebewick.discovery.transfer.DiscoveryConfig;
@@ -52,7 +52,7 @@
         server = new ReplicaServer(vertx, state, config.server(), clock, timers, log);
         try {
             source = source(file, clock);
-        } catch (BadConfig e) {
+        } catch (ConfigurationException e) {
             vertx.close();
             throw e;
         }
@@ -68,7 +68,7 @@
     private static DiscoveryConfig follow(String file) {
         DiscoveryConfig follow = ReplicaConfig.load(file).follow();
         if (follow == null) {
-            throw new BadConfig(file + ": replica: field role cannot change without a restart");
+            throw new ConfigurationException(file + ": replica: field role cannot change without a restart");
         }
         return follow;
     }
@@ -82,14 +82,14 @@
      * Starts a replica.
      *
      * @param file its configuration
-     * @throws BadConfig it cannot work, or the address cannot be listened at; nothing is left behind
+     * @throws ConfigurationException it cannot work, or the address cannot be listened at; nothing is left behind
      */
     public static ReplicaProcess start(String file, Consumer<String> log) {
         ReplicaProcess process = new ReplicaProcess(file, log);
         try {
             get(process.run());
             return process;
-        } catch (BadConfig e) {
+        } catch (ConfigurationException e) {
             process.vertx.close();
             throw e;
         }
@@ -104,7 +104,7 @@
                 countLater();
                 started.complete(at);
             }).onFailure(e -> started.completeExceptionally(
-                new BadConfig("replica: field listen: " + config.listen() + ": " + e.getMessage())));
+                new ConfigurationException("replica: field listen: " + config.listen() + ": " + e.getMessage())));
         });
         return started;
     }
@@ -151,7 +151,7 @@
         });
         try {
             get(closed);
-        } catch (BadConfig e) {
+        } catch (ConfigurationException e) {
             log.accept(e.getMessage());
         }
     }
@@ -160,12 +160,12 @@
         try {
             return future.get(PATIENCE_S, TimeUnit.SECONDS);
         } catch (ExecutionException e) {
-            throw e.getCause() instanceof BadConfig bad ? bad : new IllegalStateException(e.getCause());
+            throw e.getCause() instanceof ConfigurationException bad ? bad : new IllegalStateException(e.getCause());
         } catch (TimeoutException e) {
-            throw new BadConfig("replica: the event loop stands still");
+            throw new ConfigurationException("replica: the event loop stands still");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw new BadConfig("replica: interrupted");
+            throw new ConfigurationException("replica: interrupted");
         }
     }
 }
--- a/src/main/java/grebewick/discovery/replica/SecondarySource.java
+++ b/src/main/java/grebewick/discovery/replica/SecondarySource.java
@@ -23,7 +23,7 @@
     /**
      * A source that follows nothing yet.
      *
-     * @param reader reads the configuration anew, on another thread; may throw a {@code BadConfig}
+     * @param reader reads the configuration anew, on another thread; may throw a {@code ConfigurationException}
      */
     SecondarySource(Vertx vertx, Clock clock, Timers timers, RandomGenerator random, DiscoveryConfig config,
                     Supplier<DiscoveryConfig> reader, Consumer<String> log) {
--- a/src/main/java/grebewick/discovery/replica/ZoneFile.java
+++ b/src/main/java/grebewick/discovery/replica/ZoneFile.java
@@ -1,14 +1,13 @@
 package grebewick.discovery.replica;
 
-import grebewick.benchlink.Codec;
-import grebewick.benchlink.Fields;
-import grebewick.benchlink.WireException;
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.config.Endpoint;
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Stage;
 import grebewick.discovery.transfer.TransferCodec;
+import grebewick.json.Fields;
+import grebewick.json.JsonException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -32,9 +31,9 @@
         Map<String, List<Endpoint>> zones = new LinkedHashMap<>();
         Fields file;
         try {
-            file = new Fields("the file", Fields.asObject("the file", Codec.parse(text))).object("zones");
-        } catch (WireException e) {
-            throw new BadConfig(e.getMessage());
+            file = Fields.parse("the file", text).object("zones");
+        } catch (JsonException e) {
+            throw new ConfigurationException(e.getMessage());
         }
         for (String zone : file.values().keySet()) {
             zones.put(zone, servers(zone, file));
@@ -46,7 +45,7 @@
         String list = "zones." + zone;
         checkName(list, zone);
         if (!(file.values().get(zone) instanceof List<?> entries)) {
-            throw new BadConfig(list + " is not a list");
+            throw new ConfigurationException(list + " is not a list");
         }
         List<Endpoint> servers = new ArrayList<>(entries.size());
         Set<String> ids = new HashSet<>();
@@ -54,7 +53,7 @@
             String field = list + "[" + i + "]";
             Endpoint server = server(zone, field, entries.get(i));
             if (!ids.add(server.entry().server())) {
-                throw new BadConfig(field + ": server " + server.entry().server() + " is there twice");
+                throw new ConfigurationException(field + ": server " + server.entry().server() + " is there twice");
             }
             servers.add(server);
         }
@@ -66,7 +65,7 @@
         try {
             TransferCodec.checkZone(zone);
         } catch (IllegalArgumentException e) {
-            throw new BadConfig(field + ": " + e.getMessage());
+            throw new ConfigurationException(field + ": " + e.getMessage());
         }
     }
 
@@ -75,7 +74,7 @@
             Fields f = new Fields(field, Fields.asObject(field, value));
             double weight = f.number("weight", 1);
             if (Math.abs(Math.rint(weight * WEIGHT_SCALE) - weight * WEIGHT_SCALE) > ROUNDING) {
-                throw new BadConfig(field + ": field weight is no multiple of 0.1");
+                throw new ConfigurationException(field + ": field weight is no multiple of 0.1");
             }
             ServerEntry entry = new ServerEntry(f.string("name"), Math.toIntExact(f.integer("group", -1)),
                 stage(field, f.string("status", "up")), Math.multiplyExact(f.integer("since_ms", 0), US_PER_MS),
@@ -83,12 +82,12 @@
             Endpoint server = new Endpoint(entry, Address.parse(f.string("address")));
             TransferCodec.checkServer(zone, server);
             return server;
-        } catch (WireException e) {
-            throw new BadConfig(e.getMessage());
+        } catch (JsonException e) {
+            throw new ConfigurationException(e.getMessage());
         } catch (ArithmeticException | IllegalArgumentException e) {
-            throw new BadConfig(field + ": " + e.getMessage());
-        } catch (BadConfig e) {
-            throw e.getMessage().startsWith(field) ? e : new BadConfig(field + ": " + e.getMessage());
+            throw new ConfigurationException(field + ": " + e.getMessage());
+        } catch (ConfigurationException e) {
+            throw e.getMessage().startsWith(field) ? e : new ConfigurationException(field + ": " + e.getMessage());
         }
     }
 
@@ -96,7 +95,7 @@
         return switch (status) {
             case "up" -> Stage.HEALTHY;
             case "draining" -> Stage.CORDONED;
-            default -> throw new BadConfig(field + ": field status is neither up nor draining");
+            default -> throw new ConfigurationException(field + ": field status is neither up nor draining");
         };
     }
 }
--- a/src/main/java/grebewick/discovery/replica/ZoneSource.java
+++ b/src/main/java/grebewick/discovery/replica/ZoneSource.java
@@ -18,7 +18,7 @@
     /** Starts to tell. */
     void start(Listener listener);
 
-    /** Reads anew what it is configured by; fails with a {@code BadConfig}, and then nothing has changed. */
+    /** Reads anew what it is configured by; fails with a {@code ConfigurationException}, and then nothing has changed. */
     Future<Void> reread();
 
     /** Tells no more. */
--- a/src/main/java/grebewick/discovery/transfer/DiscoveryConfig.java
+++ b/src/main/java/grebewick/discovery/transfer/DiscoveryConfig.java
@@ -1,10 +1,9 @@
 package grebewick.discovery.transfer;
 
-import grebewick.benchlink.Codec;
-import grebewick.benchlink.Fields;
-import grebewick.benchlink.WireException;
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
+import grebewick.json.Fields;
+import grebewick.json.JsonException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -46,7 +45,7 @@
         try {
             text = Files.readString(Path.of(path));
         } catch (IOException | RuntimeException e) {
-            throw new BadConfig(FILE + ": cannot read the file " + path);
+            throw new ConfigurationException(FILE + ": cannot read the file " + path);
         }
         return parse(text);
     }
@@ -54,17 +53,17 @@
     /** Reads the text of a file. */
     public static DiscoveryConfig parse(String text) {
         try {
-            Fields fields = new Fields("discovery", Fields.asObject("discovery", Codec.parse(text)));
+            Fields fields = Fields.parse("discovery", text);
             return new DiscoveryConfig(fields.string("region"), fields.string("zone", ""), replicas(fields), zones(fields),
                 US_PER_MS * positive(fields, "poll_ms", POLL_MS), US_PER_MS * positive(fields, "timeout_ms", TIMEOUT_MS),
                 US_PER_MS * positive(fields, "transfer_ms", TRANSFER_MS),
                 positive(fields, "poll_bytes_per_s", POLL_BYTES_PER_S),
                 positive(fields, "transfer_bytes_per_s", TRANSFER_BYTES_PER_S),
                 positive(fields, "max_transfer_bytes", MAX_TRANSFER_BYTES));
-        } catch (BadConfig e) {
-            throw e.getMessage().startsWith(FILE) ? e : new BadConfig(FILE + ": " + e.getMessage());
-        } catch (WireException e) {
-            throw new BadConfig(FILE + ": " + e.getMessage());
+        } catch (ConfigurationException e) {
+            throw e.getMessage().startsWith(FILE) ? e : new ConfigurationException(FILE + ": " + e.getMessage());
+        } catch (JsonException e) {
+            throw new ConfigurationException(FILE + ": " + e.getMessage());
         }
     }
 
@@ -91,7 +90,7 @@
                 throw bad("replicas.address", "has port 0");
             }
             return address;
-        } catch (BadConfig e) {
+        } catch (ConfigurationException e) {
             throw bad("replicas.address", e.getMessage());
         }
     }
@@ -126,7 +125,7 @@
         return value;
     }
 
-    private static BadConfig bad(String field, String fault) {
-        return new BadConfig("discovery: field " + field + " " + fault);
+    private static ConfigurationException bad(String field, String fault) {
+        return new ConfigurationException("discovery: field " + field + " " + fault);
     }
 }
--- a/src/test/java/grebewick/discovery/replica/PrimaryZonesTest.java
+++ b/src/test/java/grebewick/discovery/replica/PrimaryZonesTest.java
@@ -7,7 +7,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.config.Endpoint;
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Stage;
@@ -49,7 +49,7 @@
     void whatIsWrongInAFileIsNamedWithItsField() {
         String list = "zones." + ZONE;
         Map<String, String> faults = Map.ofEntries(
-            Map.entry("", "the line is empty"),
+            Map.entry("", "the file is empty"),
             Map.entry("{", "not JSON"),
             Map.entry("{}", "field zones is missing"),
             Map.entry("{\"zones\": {\"" + ZONE + "\": 1}}", list + " is not a list"),
@@ -65,8 +65,9 @@
             Map.entry(of("{\"name\":\"s-1\",\"address\":\"host:1\",\"zone\":\"b\"}"), list + "[0]: a server that no record"),
             Map.entry(of("{\"name\":\"s-1\",\"address\":\"10.1.0.1:1\",\"zone\":\"b\",\"weight\":0.25}"), "field weight"),
             Map.entry(of("{\"name\":\"s-1\",\"address\":\"10.1.0.1:1\",\"zone\":\"b\",\"group\":5000000000}"), list + "[0]"));
-        faults.forEach((text, message) -> assertThatThrownBy(() -> ZoneFile.parse(text)).as(text).isInstanceOf(BadConfig.class)
-            .hasMessageContaining(message));
+        faults.forEach(
+            (text, message) -> assertThatThrownBy(() -> ZoneFile.parse(text)).as(text).isInstanceOf(ConfigurationException.class)
+                .hasMessageContaining(message));
     }
 
     @Test
@@ -79,7 +80,8 @@
         assertThat(version(drains)).isEqualTo(new ZoneVersion(EPOCH, 2));
         PrimaryZones empty = drains.next(ZoneFile.parse(of()));
         assertThat(version(empty)).isEqualTo(new ZoneVersion(EPOCH, 3));
-        assertThatThrownBy(() -> empty.next(Map.of())).isInstanceOf(BadConfig.class).hasMessageContaining(ZONE + " is missing");
+        assertThatThrownBy(() -> empty.next(Map.of())).isInstanceOf(ConfigurationException.class)
+            .hasMessageContaining(ZONE + " is missing");
     }
 
     /** Guards against one version with two contents: over restarts, numbers go on from what was kept. */
@@ -111,7 +113,7 @@
         for (String text : List.of("", "{\"epoch\": 5", "{\"epoch\": 5}", "{\"epoch\": 5, \"zones\": {\"z.\": {\"serial\": 1}}}",
             "{\"epoch\": 5, \"zones\": {\"z.\": {\"epoch\": 0, \"serial\": 1, \"digest\": \"\"}}}")) {
             Files.writeString(path, text);
-            assertThatThrownBy(() -> new MarkFile(path).read(EPOCH)).as(text).isInstanceOf(BadConfig.class)
+            assertThatThrownBy(() -> new MarkFile(path).read(EPOCH)).as(text).isInstanceOf(ConfigurationException.class)
                 .hasMessageContaining(path.toString());
         }
     }
--- a/src/test/java/grebewick/discovery/replica/ReplicaConfigTest.java
+++ b/src/test/java/grebewick/discovery/replica/ReplicaConfigTest.java
@@ -4,7 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.discovery.transfer.Replica;
 import java.nio.file.Path;
 import java.util.Map;
@@ -55,8 +55,8 @@
             SECONDARY + "\"zones\":[\"a.\"],\"limits\":{\"transfers\":0}}", "replica.limits: field transfers",
             SECONDARY + "\"zones\":[\"a.\"],\"limits\":{\"queries_per_s\":3000000000}}", "replica.limits: field queries_per_s");
         faults.forEach((text, message) -> assertThatThrownBy(() -> ReplicaConfig.parse(text, FOLDER)).as(text)
-            .isInstanceOf(BadConfig.class).hasMessageContaining(message));
-        assertThatThrownBy(() -> ReplicaConfig.load("deploy/none.json")).isInstanceOf(BadConfig.class)
+            .isInstanceOf(ConfigurationException.class).hasMessageContaining(message));
+        assertThatThrownBy(() -> ReplicaConfig.load("deploy/none.json")).isInstanceOf(ConfigurationException.class)
             .hasMessageContaining("deploy/none.json");
     }
 }
--- a/src/test/java/grebewick/discovery/replica/SecondarySourceTest.java
+++ b/src/test/java/grebewick/discovery/replica/SecondarySourceTest.java
@@ -4,7 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.discovery.transfer.FailureReason;
 import grebewick.discovery.transfer.Replica;
@@ -222,7 +222,7 @@
             .isEqualTo(new Failed(FailureReason.SERVFAIL));
         assertThat(client.ask(query(FIRST))).isEqualTo(new UpToDate(FIRST));
         SecondarySource faulty = new SecondarySource(s.vertx, s.clock, s.clock, new SplittableRandom(SEED), config(ZONE), () -> {
-            throw new BadConfig("no");
+            throw new ConfigurationException("no");
         }, log::add);
         assertThat(s.await(() -> faulty.reread().map(done -> "read").otherwise(Throwable::getMessage))).isEqualTo("no");
         s.await(faulty::close);
--- a/src/test/java/grebewick/discovery/transfer/DiscoveryConfigTest.java
+++ b/src/test/java/grebewick/discovery/transfer/DiscoveryConfigTest.java
@@ -4,7 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import grebewick.config.Address;
-import grebewick.config.BadConfig;
+import grebewick.config.ConfigurationException;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -50,13 +50,13 @@
         "\"poll_ms\":1500}|\"poll_ms\":1500|not JSON"})
     void whatCannotWorkIsNamed(String part, String instead, String fault) {
         assertThat(FILE).contains(part);
-        assertThatThrownBy(() -> DiscoveryConfig.parse(FILE.replace(part, instead))).isInstanceOf(BadConfig.class)
+        assertThatThrownBy(() -> DiscoveryConfig.parse(FILE.replace(part, instead))).isInstanceOf(ConfigurationException.class)
             .hasMessageStartingWith("RELAY_DISCOVERY: ").hasMessageContaining(fault);
     }
 
     @Test
     void aFileThatIsNotThereIsNamed() {
-        assertThatThrownBy(() -> DiscoveryConfig.load("/nowhere.json")).isInstanceOf(BadConfig.class)
+        assertThatThrownBy(() -> DiscoveryConfig.load("/nowhere.json")).isInstanceOf(ConfigurationException.class)
             .hasMessage("RELAY_DISCOVERY: cannot read the file /nowhere.json");
     }
 
