Rounds: what was put off is not run on a round of reads that took over 50 ms

Cause: an attempt waits for one whole round of reads, so that it doesn't leave after its caller's close or CANCEL. But a round that is slow itself (a list of 1,024 servers took 100 to 130 ms of one) looked at the caller's connection at its start; who left during it was sent on up to that much later.

Change: a task whose round began more than 50 ms ago waits for another, for eight rounds at most, so that a loop that is always late still takes calls. The clock is handed in.

Test: a caller leaves while a socket's handler holds the second round; it fails with the check taken out (done once).

--- a/src/main/java/grebewick/eventloop/MillisecondTimers.java
+++ b/src/main/java/grebewick/eventloop/MillisecondTimers.java
@@ -46,6 +46,7 @@
 
     @Override
     public int run(IoHandlerContext loop) {
+        afterRead.begin();
         int handled = nio.run(new IoHandlerContext() {
             @Override
             public boolean canBlock() {
--- a/src/test/java/grebewick/eventloop/AfterReadQueueTest.java
+++ b/src/test/java/grebewick/eventloop/AfterReadQueueTest.java
@@ -1,5 +1,7 @@
 package grebewick.eventloop;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import grebewick.Node;
 import grebewick.config.Address;
 import grebewick.config.Endpoint;
@@ -13,12 +15,15 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,11 +33,16 @@
 /** A gatekeeper on the loop of the daemon, which is held still while callers and servers go on. */
 class AfterReadQueueTest {
     private final Scenario s = new Scenario();
-    private final AfterReadQueue afterRead = new AfterReadQueue();
+    /** What has passed beside the system's clock. */
+    private final AtomicLong leaptNs = new AtomicLong();
+    private final AfterReadQueue afterRead = new AfterReadQueue(() -> System.nanoTime() + leaptNs.get());
     private final Vertx vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1))
         .withTransport(new BoundedAcceptor(100, afterRead)).build();
     private final Context loop = vertx.getOrCreateContext();
     private final Timers timers = afterRead.timers(vertx, loop);
+    /** Run on the loop whenever something is put off until all input has been read. */
+    private Runnable onPutOff = () -> {
+    };
     private CountDownLatch still;
     private int port;
 
@@ -43,7 +53,7 @@
                 new Address("127.0.0.1", s.server("s1", new TrunkDialect())))),
             64, Sites.settings());
         CompletableFuture<Integer> ready = new CompletableFuture<>();
-        loop.runOnContext(v -> new Node(vertx, config, () -> System.nanoTime() / 1000, timers, line -> {}).start()
+        loop.runOnContext(v -> new Node(vertx, config, () -> System.nanoTime() / 1000, watched(), line -> {}).start()
             .onSuccess(ready::complete));
         port = ready.get(20, TimeUnit.SECONDS);
         s.client("d", new SipDialect(), port);
@@ -56,16 +66,25 @@
         vertx.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
     }
 
+    private Timers watched() {
+        return new Timers() {
+            @Override
+            public Runnable after(long us, Runnable task) {
+                return timers.after(us, task);
+            }
+
+            @Override
+            public void afterInput(Runnable task) {
+                timers.afterInput(task);
+                onPutOff.run();
+            }
+        };
+    }
+
     private void hold() {
         CountDownLatch latch = new CountDownLatch(1);
         still = latch;
-        loop.runOnContext(v -> {
-            try {
-                latch.await(20, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
+        loop.runOnContext(v -> await(latch));
     }
 
     /** Guards the servers against set-ups of callers that have left while the loop stood still: close, reset, CANCEL. */
@@ -87,6 +106,53 @@
         }
     }
 
+    /**
+     * Guards the servers against set-ups of callers that leave while a round of reads is under way and takes long: it
+     * has looked at their connections before. The slow part of it is a socket whose handler waits.
+     */
+    @Test
+    void whoLeftDuringASlowRoundIsNotSentOn() throws Exception {
+        CountDownLatch slow = new CountDownLatch(1);
+        CountDownLatch left = new CountDownLatch(1);
+        int slowPort = vertx.createNetServer().connectHandler(socket -> socket.handler(bytes -> {
+            slow.countDown();
+            await(left);
+        })).listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS).actualPort();
+        try (Socket c = new Socket(InetAddress.getByName("127.0.0.1"), port);
+            Socket waker = new Socket(InetAddress.getByName("127.0.0.1"), slowPort)) {
+            // Accepted and read from by now: what the loop reads next comes in the next round.
+            c.getOutputStream().write(new SipDialect().encode("OPTIONS 77").getBytes());
+            assertThat(c.getInputStream().read()).isNotNegative();
+            onPutOff = () -> {
+                onPutOff = () -> {
+                };
+                writeByte(waker);
+            };
+            c.getOutputStream().write(new SipDialect().encode("INVITE 01").getBytes());
+            assertThat(slow.await(20, TimeUnit.SECONDS)).isTrue();
+            c.close();
+            leaptNs.addAndGet(2 * AfterReadQueue.FRESH_NS);
+            left.countDown();
+            s.play("d > INVITE 02\n s1 < set-up 02*\n s1 > answer 02 desc\n d < 200 INVITE 02 desc\n s1 has no more");
+        }
+    }
+
+    private static void writeByte(Socket to) {
+        try {
+            to.getOutputStream().write(1);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await(20, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** What is put off leaves without anything else to wake the loop. */
     @Test
     void aTaskOfATimerIsRunAfterTheNextRound() throws Exception {
