SipFront: set-ups end with a connection that is closed since its caller reads nothing

Cause: with 256 KiB unread CallerLine closes its connection, but its end is seen only when all is written or 2 s later, and what its caller says there is not heard meanwhile. No answer could have been written to it any more.

Change: the end is told to the front at the next turn.

Test: a caller whose set-up waits out the release time, reads nothing and cancels; it fails without the call (done once).

--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -6,6 +6,7 @@
 import io.vertx.core.net.NetSocket;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** One connection from callers: what is open on it, and what it has shown of its sender. */
 final class CallerLine {
@@ -39,11 +40,14 @@
     int useless;
     boolean closed;
     private final Timers timers;
+    private final Consumer<CallerLine> ended;
     private int unread;
 
-    CallerLine(NetSocket socket, Timers timers, long nowUs) {
+    /** {@code ended} is told of its end where its caller reads nothing: no answer can be written any more. */
+    CallerLine(NetSocket socket, Timers timers, Consumer<CallerLine> ended, long nowUs) {
         this.socket = socket;
         this.timers = timers;
+        this.ended = ended;
         sinceUs = nowUs;
         heardUs = nowUs;
     }
@@ -66,6 +70,8 @@
         if (unread > MOST_UNREAD) {
             // Guards the memory against callers that ask and never read.
             close();
+            // Not within the caller's own loop over what it writes.
+            timers.after(0, () -> ended.accept(this));
             return;
         }
         socket.write(bytes).onComplete(done -> unread -= bytes.length());
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -111,7 +111,7 @@
     }
 
     private void accept(NetSocket socket) {
-        CallerLine line = new CallerLine(socket, timers, clock.nowUs());
+        CallerLine line = new CallerLine(socket, timers, this::closed, clock.nowUs());
         socket.handler(bytes -> read(line, bytes));
         socket.exceptionHandler(e -> {
             // Its calls are over at once: what else was read in this round must not send them on.
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -32,11 +32,14 @@
 @Timeout(100)
 class LeftCallersTest {
     private static final String CANCELS = "c > CANCEL 01\n c < 200 CANCEL 01\n c < 487 INVITE 01";
+    /** Bytes unread by its caller after which a connection is closed. */
+    private static final int MOST_UNREAD = 256 * 1024;
     private static final Settings PATIENT = Sites
         .settings(Sites.SETTINGS.replace("\"ConnectTimeout\":500000", "\"ConnectTimeout\":60000000"));
     private final Scenario s = new Scenario();
     private final List<String> log = new ArrayList<>();
     private Node node;
+    private int port;
     private Endpoint one;
     private Endpoint two;
 
@@ -44,7 +47,7 @@
     void start() {
         one = endpoint("s1", s.server("s1", new TrunkDialect()), Stage.HEALTHY, 0);
         two = endpoint("s2", s.server("s2", new TrunkDialect()), Stage.HEALTHY, 1);
-        int port = s.await(() -> {
+        port = s.await(() -> {
             node = new Node(s.vertx, config(List.of(one, two)), s.clock, s.clock, log::add);
             return node.start();
         });
@@ -87,6 +90,26 @@
         isNotSentOn();
     }
 
+    /**
+     * Its connection is closed from this side, as it reads nothing; what it says there from then on is not heard any more,
+     * its leave neither. Its set-up waits out the release time meanwhile.
+     */
+    @Test
+    void whileItReadNothingAndItsConnectionWasClosed() throws IOException {
+        byte[] tests = new SipDialect().encode("OPTIONS ff").toString().repeat(200).getBytes();
+        try (Socket mute = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            mute.getOutputStream().write(new SipDialect().encode("INVITE 01").getBytes());
+            s.play("s1 < set-up 01*\n s1 > release 01 41\n s1 < released 01\n wait 400");
+            while (s.on(() -> node.pendingWork().bytes()) < MOST_UNREAD) {
+                mute.getOutputStream().write(tests);
+            }
+            mute.getOutputStream().write(tests);
+            mute.getOutputStream().write(new SipDialect().encode("CANCEL 01").getBytes());
+            s.play("d has no more");
+            isNotSentOn();
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {CANCELS, "c closes"})
     void whileTheModuleHeldIt(String leaves) {
