DiameterFront: an STR for a session that is still asked for withdraws the request

Cause: a client that ended a session before its AAA came got 5002, and its request went on: attempts began for it for as long as it could wait, and the session that then stood belonged to nobody.

Change: such an STR of the same client is answered with 2001, the AAR with 3002 before it, and what is out is given up. Of another client it is answered with 5002, as before.

Tests: while the module holds the request, and while the release time runs, each by STR and by a close. A close was heard already. The test's front admits a second client, b, for the stranger.

--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -221,6 +221,11 @@
 
     private void terminate(Connection on, DiameterMessage m) {
         Session s = sessions.get(m.need(Avp.SESSION_ID).text());
+        if (s != null && !s.answered && s.on.peer().equals(on.peer())) {
+            s.withdrawn();
+            on.send(m.answer(me, SUCCESS));
+            return;
+        }
         if (s == null || !s.answered) {
             throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
         }
@@ -281,6 +286,12 @@
             answer(request.answer(me, DiameterException.UNABLE_TO_DELIVER));
         }
 
+        /** The client ends it while it is asked for: nothing goes out for it any more, and its request is answered. */
+        void withdrawn() {
+            failed(call);
+            core.hangup(call);
+        }
+
         /** A session that was never open needs no end; an open one is aborted, and its STR answered when it comes. */
         @Override
         public void released(long number, Ending ending) {
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -20,18 +20,21 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The Diameter front on sockets: a client c, authorising peers p1 (first choice) and p2. Tw is 10 s, no jitter. */
 class DiameterNodeTest {
     private final Scenario s = new Scenario();
     private final List<String> log = new ArrayList<>();
     private DiameterNode node;
+    private int port;
 
     @BeforeEach
     void start() {
-        DiameterConfig config = new DiameterConfig(new Address("127.0.0.1", 0), "gk", "realm", Set.of("c"), "a", 9_000_000,
+        DiameterConfig config = new DiameterConfig(new Address("127.0.0.1", 0), "gk", "realm", Set.of("c", "b"), "a", 9_000_000,
             10_000_000, 0, 1_000_000, List.of(peer("p1", 0), peer("p2", 1)), Sites.settings(), null);
-        int port = s.await(() -> {
+        port = s.await(() -> {
             node = new DiameterNode(s.vertx, config, 1, s.clock, s.clock, log::add);
             return node.start();
         }).actualPort();
@@ -105,6 +108,55 @@
         s.play("loop is caught-up\n wait 5000\n p1 has no more\n p2 has no more");
     }
 
+    /** Nor is what it had asked for before, and what waits out the release time. */
+    @ParameterizedTest
+    @ValueSource(strings = {"c > STR s\n c < AAA s 3002 E\n c < STA s 2001", "c closes"})
+    void whoLeavesWhileTheReleaseTimeRunsIsNotSentOn(String leaves) {
+        s.play("c > AAR s\n p1 < AAR s\n p1 closes").until(() -> logged("p1 OKAY -> DOWN"));
+        s.play("wait 400\n" + leaves).until(() -> node.calls() == 0);
+        s.play("wait 500\n p2 has no more");
+    }
+
+    /** The one slot of p1 is taken when b asks, and comes free once b has left. */
+    @ParameterizedTest
+    @ValueSource(strings = {"b > STR u\n b < AAA u 3002 E\n b < STA u 2001", "b closes"})
+    void whoLeavesWhileTheModuleHeldItIsNotSentOn(String leaves) {
+        s.client("b", new DiameterDialect("b", 1), port);
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            b > CER
+            b < CEA 2001
+            b > AAR u
+            b has no more
+            """ + leaves).until(() -> node.calls() == 1).play("""
+            p1 > AAA s 2001
+            c < AAA s 2001
+            p1 has no more
+            p2 has no more
+            c > STR s
+            c < STA s 2001
+            p1 < STR s""");
+    }
+
+    /** A session that is asked for is ended by its own client alone. */
+    @Test
+    void anotherClientEndsNoSessionThatIsAskedFor() {
+        s.client("b", new DiameterDialect("b", 1), port);
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            b > CER
+            b < CEA 2001
+            b > STR s
+            b < STA s 5002
+            p1 > AAA s 2001
+            c < AAA s 2001
+            c > STR s
+            c < STA s 2001
+            p1 < STR s""");
+    }
+
     @Test
     void aServersNoIsTheOneAnswerAndLeavesNoSession() {
         s.play("""
