One token bucket in core for reconnects, replica limits and byte budgets

Three stood side by side: trunk.TokenBucket, discovery.replica.TokenBucket and discovery.transfer.ByteBudget. core.TokenBucket has what they had: amounts, amounts above the capacity when it is full, spending into a debt, the time until an amount is there. ByteBudget stays as a thin class over it: it opens above zero only and counts the bytes used in all. A bucket is full until its first use and needs no time to be made, so ReplicaState, TransferLimits, TransferGate and ByteBudget no longer take one.

ByteBudgetTest asks its bucket at 0 first, so that the pause it tests still begins there.

--- a/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
@@ -48,7 +48,7 @@
         long zeroUs = System.currentTimeMillis() * US_PER_MS - System.nanoTime() / US_PER_MS;
         Clock clock = () -> zeroUs + System.nanoTime() / US_PER_MS;
         timers = this::after;
-        state = new ReplicaState(config.history(), config.limits(), clock.nowUs());
+        state = new ReplicaState(config.history(), config.limits());
         server = new ReplicaServer(vertx, state, config.server(), clock, timers, log);
         try {
             source = source(file, clock);
--- a/src/main/java/grebewick/discovery/replica/ReplicaState.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaState.java
@@ -46,9 +46,9 @@
     private long failed;
 
     /** A state that serves no zone yet. */
-    public ReplicaState(HistoryLimits history, LimitSettings settings, long nowUs) {
+    public ReplicaState(HistoryLimits history, LimitSettings settings) {
         this.history = history;
-        this.limits = new TransferLimits(settings, nowUs);
+        this.limits = new TransferLimits(settings);
     }
 
     /** From now on serves these zones and no others. */
--- a/src/main/java/grebewick/discovery/replica/TransferLimits.java
+++ b/src/main/java/grebewick/discovery/replica/TransferLimits.java
@@ -1,5 +1,7 @@
 package grebewick.discovery.replica;
 
+import grebewick.core.TokenBucket;
+
 /** Keeps a replica within its {@link LimitSettings}; what is beyond them is refused at once, never queued. */
 public final class TransferLimits {
     private final int mostTransfers;
@@ -8,25 +10,25 @@
     private int transfers;
 
     /** Limits with nothing used so far. */
-    public TransferLimits(LimitSettings settings, long nowUs) {
+    public TransferLimits(LimitSettings settings) {
         mostTransfers = settings.transfers();
-        queries = new TokenBucket(settings.queriesPerSecond(), settings.queriesPerSecond(), nowUs);
-        copyBytes = new TokenBucket(settings.copyBytesPerSecond(), settings.copyBytesPerSecond(), nowUs);
+        queries = new TokenBucket(settings.queriesPerSecond(), settings.queriesPerSecond());
+        copyBytes = new TokenBucket(settings.copyBytesPerSecond(), settings.copyBytesPerSecond());
     }
 
     /** Whether one more query is answered. */
     public boolean takeQuery(long nowUs) {
-        return queries.take(1, nowUs);
+        return queries.tryTake(1, nowUs);
     }
 
     /** Whether a whole copy may be sent in a datagram. */
     public boolean takeCopy(int bytes, long nowUs) {
-        return copyBytes.take(bytes, nowUs);
+        return copyBytes.tryTake(bytes, nowUs);
     }
 
     /** Whether a transfer over TCP may begin; if so, {@link #endTransfer} follows. {@code bytes} 0: no whole copy. */
     public boolean beginTransfer(int bytes, long nowUs) {
-        if (transfers >= mostTransfers || bytes > 0 && !copyBytes.take(bytes, nowUs)) {
+        if (transfers >= mostTransfers || bytes > 0 && !copyBytes.tryTake(bytes, nowUs)) {
             return false;
         }
         transfers++;
--- a/src/main/java/grebewick/discovery/transfer/ServerListClient.java
+++ b/src/main/java/grebewick/discovery/transfer/ServerListClient.java
@@ -75,8 +75,8 @@
         config = next;
         selector = new ReplicaSelector(next.replicas(), next.region(), next.zone(), random);
         schedule = new PollSchedule(next.zones().size(), next.pollUs(), next.pollBytesPerSecond(), random);
-        polls = new ByteBudget(next.pollBytesPerSecond(), next.pollBytesPerSecond(), nowUs);
-        transfers = new TransferGate(next.transferBytesPerSecond(), nowUs, random);
+        polls = new ByteBudget(next.pollBytesPerSecond(), next.pollBytesPerSecond());
+        transfers = new TransferGate(next.transferBytesPerSecond(), random);
         pending.removeAll().forEach(this::abandon);
         tasks.keySet().retainAll(next.zones());
         for (String zone : next.zones()) {
--- a/src/main/java/grebewick/discovery/transfer/TransferGate.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferGate.java
@@ -21,8 +21,8 @@
     private int refusals;
     private long refusedUntilUs = Long.MIN_VALUE;
 
-    TransferGate(long bytesPerSecond, long nowUs, RandomGenerator random) {
-        budget = new ByteBudget(bytesPerSecond, bytesPerSecond, nowUs);
+    TransferGate(long bytesPerSecond, RandomGenerator random) {
+        budget = new ByteBudget(bytesPerSecond, bytesPerSecond);
         backoff = new Backoff(BASE_US, CAP_US, random);
     }
 
--- a/src/main/java/grebewick/lab/ReplicaCostBench.java
+++ b/src/main/java/grebewick/lab/ReplicaCostBench.java
@@ -67,7 +67,7 @@
     }
 
     private static void measure(int size, List<Row> rows) throws Exception {
-        ReplicaState state = new ReplicaState(new HistoryLimits(64, 1 << 20), NO_LIMITS, 0);
+        ReplicaState state = new ReplicaState(new HistoryLimits(64, 1 << 20), NO_LIMITS);
         state.serve(List.of(ZONE));
         ZoneContent first = content(FIRST, size, Stage.HEALTHY);
         ZoneContent second = content(FIRST.next(), size, Stage.CORDONED);
--- a/src/main/java/grebewick/lab/fleet/ControlMachine.java
+++ b/src/main/java/grebewick/lab/fleet/ControlMachine.java
@@ -51,7 +51,7 @@
 
     /** A machine that holds nothing yet of these zones. */
     ControlMachine(List<String> zones) {
-        state = new ReplicaState(HISTORY, LimitSettings.DEFAULT, clock.nowUs());
+        state = new ReplicaState(HISTORY, LimitSettings.DEFAULT);
         state.serve(zones);
         server = new ReplicaServer(vertx, state, ServerLimits.DEFAULT, clock, timers, line -> {});
     }
--- a/src/main/java/grebewick/trunk/ReconnectBudget.java
+++ b/src/main/java/grebewick/trunk/ReconnectBudget.java
@@ -1,5 +1,6 @@
 package grebewick.trunk;
 
+import grebewick.core.TokenBucket;
 import java.util.function.Consumer;
 
 /**
@@ -32,12 +33,12 @@
 
     /** How long until one more may be opened, in microseconds; 0: now. */
     long waitUs(long nowUs) {
-        return tokens.waitUs(nowUs);
+        return tokens.waitUs(1, nowUs);
     }
 
     /** One is opened again; to be called where {@link #waitUs} is 0. */
     void take(long nowUs) {
-        tokens.take(nowUs);
+        tokens.take(1, nowUs);
         opened++;
     }
 
--- a/src/main/java/grebewick/trunk/ServerReconnects.java
+++ b/src/main/java/grebewick/trunk/ServerReconnects.java
@@ -1,5 +1,6 @@
 package grebewick.trunk;
 
+import grebewick.core.TokenBucket;
 import grebewick.trunk.ReconnectBudget.Wait;
 import java.util.random.RandomGenerator;
 
@@ -111,13 +112,13 @@
         }
         long breakUs = breaks.waitUs(nowUs);
         long idleUs = needed || broken ? 0 : idles.waitUs(nowUs);
-        long ownUs = own.waitUs(nowUs);
+        long ownUs = own.waitUs(1, nowUs);
         long allUs = all.waitUs(nowUs);
         long waitUs = Math.max(Math.max(breakUs, idleUs), Math.max(ownUs, allUs));
         if (waitUs == 0) {
             due--;
             broken = false;
-            own.take(nowUs);
+            own.take(1, nowUs);
             all.take(nowUs);
         } else if (waitUs == breakUs) {
             all.waits(Wait.BACKOFF, nowUs);
--- a/src/test/java/grebewick/discovery/replica/ReplicaServerTest.java
+++ b/src/test/java/grebewick/discovery/replica/ReplicaServerTest.java
@@ -41,7 +41,7 @@
     private BlockingClient client;
 
     private void start(LimitSettings limits, ServerLimits serverLimits, ZoneContent content) throws Exception {
-        state = new ReplicaState(new HistoryLimits(4_096, 1 << 20), limits, s.on(s.clock::nowUs));
+        state = new ReplicaState(new HistoryLimits(4_096, 1 << 20), limits);
         state.serve(List.of(ZONE));
         state.take(ZONE, content);
         server = new ReplicaServer(s.vertx, state, serverLimits, s.clock, s.clock, log::add);
--- a/src/test/java/grebewick/discovery/replica/ReplicaStateTest.java
+++ b/src/test/java/grebewick/discovery/replica/ReplicaStateTest.java
@@ -39,7 +39,7 @@
 
     @Test
     void zonesThatAreNotHeldOrNotServedSaySo() {
-        ReplicaState state = new ReplicaState(HISTORY, LimitSettings.DEFAULT, 0);
+        ReplicaState state = new ReplicaState(HISTORY, LimitSettings.DEFAULT);
         state.serve(List.of(zone(1), zone(2)));
         ZoneContent content = samples.content(FIRST, 7);
         assertThat(state.take(zone(1), content)).isTrue();
@@ -58,7 +58,7 @@
     @Test
     void noVersionIsEverLowerThanOneServed() {
         Random random = new Random(18);
-        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(64, 1L << 40, 1L << 40), 0);
+        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(64, 1L << 40, 1L << 40));
         state.serve(List.of(zone(1)));
         ZoneVersion highest = null;
         for (int i = 0; i < 2_000; i++) {
@@ -79,7 +79,7 @@
 
     @Test
     void transfersAtATimeAreLimited() {
-        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(3, 1L << 40, 1_000), 0);
+        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(3, 1L << 40, 1_000));
         state.serve(List.of(zone(1)));
         state.take(zone(1), samples.content(FIRST, 100));
         for (int i = 0; i < 3; i++) {
@@ -93,7 +93,7 @@
 
     @Test
     void queriesASecondAreLimited() {
-        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(3, 1L << 40, 100), 0);
+        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(3, 1L << 40, 100));
         state.serve(List.of(zone(1)));
         int answered = 0;
         for (long nowUs = 0; nowUs < 10 * SECOND_US; nowUs += 1_000) {
@@ -115,7 +115,7 @@
     void aRestartOfAllStaysWithinTheBytes() {
         long bytesPerSecond = 400_000;
         Random random = new Random(3_800);
-        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(64, bytesPerSecond, 1_000_000), 0);
+        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(64, bytesPerSecond, 1_000_000));
         List<String> zones = new ArrayList<>();
         for (int i = 0; i < 560; i++) {
             zones.add(zone(i));
@@ -169,7 +169,7 @@
     /** A copy larger than a second's budget is sent when the budget is whole, and paid for after. */
     @Test
     void aCopyBeyondASecondsBudgetIsPaidForAfter() {
-        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(64, 10_000, 1_000), 0);
+        ReplicaState state = new ReplicaState(HISTORY, new LimitSettings(64, 10_000, 1_000));
         state.serve(List.of(zone(1)));
         state.take(zone(1), samples.content(FIRST, 3_800));
         int bytes = TransferSize.ofCopy(zone(1), state.content(zone(1)).orElseThrow());
--- a/src/test/java/grebewick/discovery/replica/SecondarySourceTest.java
+++ b/src/test/java/grebewick/discovery/replica/SecondarySourceTest.java
@@ -54,7 +54,7 @@
         private final Address address;
 
         Upstream(Set<String> zones, int port) {
-            state = new ReplicaState(new HistoryLimits(4_096, 1 << 20), LimitSettings.DEFAULT, s.on(s.clock::nowUs));
+            state = new ReplicaState(new HistoryLimits(4_096, 1 << 20), LimitSettings.DEFAULT);
             state.serve(zones);
             server = new ReplicaServer(s.vertx, state, ServerLimits.DEFAULT, s.clock, s.clock, log::add);
             address = s.await(() -> listen(new Address("127.0.0.1", port)));
--- a/src/test/java/grebewick/discovery/transfer/ByteBudgetTest.java
+++ b/src/test/java/grebewick/discovery/transfer/ByteBudgetTest.java
@@ -11,7 +11,7 @@
 
     @Test
     void aDebtIsPaidBeforeAnythingIsStarted() {
-        ByteBudget budget = new ByteBudget(1_000, 2_000, 0);
+        ByteBudget budget = new ByteBudget(1_000, 2_000);
         assertThat(budget.isOpen(0)).isTrue();
         budget.spend(0, 5_000);
         assertThat(budget.isOpen(2 * SECOND)).isFalse();
@@ -23,7 +23,8 @@
     /** However long nothing was used, no more than the burst is there at once. */
     @Test
     void aPauseSavesNoMoreThanTheBurst() {
-        ByteBudget budget = new ByteBudget(1_000, 2_000, 0);
+        ByteBudget budget = new ByteBudget(1_000, 2_000);
+        assertThat(budget.isOpen(0)).isTrue();
         budget.spend(3_600 * SECOND, 2_000);
         assertThat(budget.isOpen(3_600 * SECOND)).isFalse();
     }
