--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -8,7 +8,7 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.Logic;
 import grebewick.core.Timers;
-import grebewick.discovery.Subset;
+import grebewick.discovery.DeterministicSubset;
 import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.discovery.transfer.DnsTransferClient;
 import grebewick.eventloop.ActivityCount;
@@ -40,7 +40,7 @@
     private final Timers timers;
     private final Consumer<String> log;
     private final Trunk trunk;
-    private final Subset subset;
+    private final DeterministicSubset subset;
     private final Gatekeeper<byte[]> core;
     private final SipFront front;
     private PeerDatagrams peers;
@@ -72,7 +72,7 @@
             }, log);
         trunk.attach(core);
         // A quarter is left for those that replace others and for spare connections.
-        subset = new Subset(connections - connections / 4, config.settings().familyInfo().shape().equals("pools")
+        subset = new DeterministicSubset(connections - connections / 4, config.settings().familyInfo().shape().equals("pools")
             ? config.settings().familyInfo().poolsByClass() : List.of(), config.name() + "@" + config.listen(), log);
         front = new SipFront(vertx, config.settings(), config.sockets(), core, clock, timers, log);
         trunk.onStray(front::releaseStray);
--- a/src/main/java/grebewick/discovery/Subset.java
+++ b/src/main/java/grebewick/discovery/DeterministicSubset.java
@@ -17,7 +17,7 @@
  * server that drains is followed by another at once. Gatekeepers draw differently, so that together they use all servers;
  * one that starts again draws as before: the ends of calls of before its start come from the servers that it had then.
  */
-public final class Subset {
+public final class DeterministicSubset {
     private final int most;
     /** By class: the pools that its calls may go to. */
     private final List<Set<Integer>> pools;
@@ -30,7 +30,7 @@
      * At most {@code most} servers that take calls; {@code pools} may be empty: any server takes any call. {@code self}: what
      * tells this gatekeeper from others, and stays over restarts.
      */
-    public Subset(int most, Collection<? extends Collection<Integer>> pools, String self, Consumer<String> log) {
+    public DeterministicSubset(int most, Collection<? extends Collection<Integer>> pools, String self, Consumer<String> log) {
         this.most = most;
         this.pools = pools.isEmpty() ? List.of(Set.of()) : pools.stream().map(Set::<Integer>copyOf).toList();
         seed = self.hashCode() * 0x9e3779b97f4a7c15L;
--- a/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
+++ b/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
@@ -12,7 +12,7 @@
 import grebewick.core.Offer;
 import grebewick.core.Servers;
 import grebewick.core.Timers;
-import grebewick.discovery.Subset;
+import grebewick.discovery.DeterministicSubset;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.HashMap;
@@ -30,7 +30,7 @@
     private static final List<Double> AT_REST = List.of(1000.0, 1000.0, 1000.0, 0.0);
 
     private final Clock clock;
-    private final Subset subset;
+    private final DeterministicSubset subset;
     private final Gatekeeper<byte[]> core;
     private final ServerListSource source;
     private final ChangeTimes times;
@@ -56,7 +56,7 @@
             long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
             return () -> vertx.cancelTimer(id);
         };
-        subset = new Subset(inUse, settings.familyInfo().poolsByClass(), name, line -> {});
+        subset = new DeterministicSubset(inUse, settings.familyInfo().poolsByClass(), name, line -> {});
         long seed = ThreadLocalRandom.current().nextLong();
         core = new Gatekeeper<>(settings, new Logic(settings, seed), clock, timers, new RestingServers(), (peer, bytes) -> {},
             line -> {});
--- a/src/test/java/grebewick/discovery/SubsetTest.java
+++ b/src/test/java/grebewick/discovery/DeterministicSubsetTest.java
@@ -13,7 +13,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
-class SubsetTest {
+class DeterministicSubsetTest {
     private final List<String> log = new ArrayList<>();
 
     private static List<Endpoint> list(int n) {
@@ -27,7 +27,7 @@
     /** Guards calls that stand: none of their servers leaves before the list says so; a draining one is followed. */
     @Test
     void whoIsChosenStaysWhileListedAndIsFollowedWhenItDrains() {
-        Subset subset = new Subset(10, List.of(), "n1", log::add);
+        DeterministicSubset subset = new DeterministicSubset(10, List.of(), "n1", log::add);
         assertThat(subset.of(list(8))).hasSize(8);
         List<Endpoint> list = list(100);
         List<Endpoint> chosen = subset.of(list);
@@ -46,7 +46,7 @@
         List<Integer> all = list(1024).stream().map(e -> e.entry().placeNo()).toList();
         Set<Endpoint> used = new HashSet<>();
         for (int n = 0; n < 100; n++) {
-            List<Endpoint> chosen = new Subset(64, List.of(all, rare), "n" + n + "@10.0.0." + n + ":5070", log::add)
+            List<Endpoint> chosen = new DeterministicSubset(64, List.of(all, rare), "n" + n + "@10.0.0." + n + ":5070", log::add)
                 .of(list(1024));
             assertThat(chosen).hasSize(64);
             assertThat(chosen.stream().filter(e -> rare.contains(e.entry().placeNo()))).hasSize(3);
@@ -59,14 +59,14 @@
     @Test
     void whoStartsAgainHasTheServersOfBeforeAndThoseThatDrainSince() {
         List<Endpoint> list = list(300);
-        List<Endpoint> before = new Subset(40, List.of(), "n1@10.0.0.1:5070", log::add).of(list);
-        assertThat(new Subset(40, List.of(), "n1@10.0.0.1:5070", log::add).of(list)).isEqualTo(before);
-        assertThat(new Subset(40, List.of(), "n2@10.0.0.2:5070", log::add).of(list)).isNotEqualTo(before);
+        List<Endpoint> before = new DeterministicSubset(40, List.of(), "n1@10.0.0.1:5070", log::add).of(list);
+        assertThat(new DeterministicSubset(40, List.of(), "n1@10.0.0.1:5070", log::add).of(list)).isEqualTo(before);
+        assertThat(new DeterministicSubset(40, List.of(), "n2@10.0.0.2:5070", log::add).of(list)).isNotEqualTo(before);
         List<String> had = before.stream().map(e -> e.entry().server()).toList();
         for (int i = 0; i < 300; i += 3) {
             list.set(i, server(i, Stage.CORDONED));
         }
-        List<Endpoint> after = new Subset(40, List.of(), "n1@10.0.0.1:5070", log::add).of(list);
+        List<Endpoint> after = new DeterministicSubset(40, List.of(), "n1@10.0.0.1:5070", log::add).of(list);
         assertThat(after.stream().map(e -> e.entry().server())).containsAll(had);
         assertThat(after.stream().filter(e -> e.entry().stage() == Stage.HEALTHY)).hasSize(40);
         assertThat(after.stream().filter(e -> e.entry().stage() == Stage.CORDONED)).hasSizeLessThan(40);
