--- a/src/main/java/grebewick/benchlink/Codec.java
+++ b/src/main/java/grebewick/benchlink/Codec.java
@@ -107,7 +107,7 @@
     private static Stage stage(Fields f) {
         return switch (f.string("StageState")) {
             case "healthy" -> Stage.HEALTHY;
-            case "cordoned" -> Stage.CORDONED;
+            case "cordoned" -> Stage.DRAINING;
             case "deregistered" -> Stage.DEREGISTERED;
             default -> throw new WireException(f.message() + ": field StageState has an unknown value");
         };
--- a/src/main/java/grebewick/config/NodeConfig.java
+++ b/src/main/java/grebewick/config/NodeConfig.java
@@ -85,7 +85,7 @@
         for (Fields e : update.objects("endpoints")) {
             String id = e.string("name");
             Stage stage = switch (e.string("status", "up")) {
-                case "draining" -> Stage.CORDONED;
+                case "draining" -> Stage.DRAINING;
                 case "removed" -> Stage.DEREGISTERED;
                 default -> Stage.HEALTHY;
             };
--- a/src/main/java/grebewick/core/CallControl.java
+++ b/src/main/java/grebewick/core/CallControl.java
@@ -83,16 +83,16 @@
     enum Scope { PARTIAL, COMPLETE, PERSISTED, ERROR }
 
     /** What the list says of a server. */
-    enum Stage { HEALTHY, CORDONED, DEREGISTERED }
+    enum Stage { HEALTHY, DRAINING, DEREGISTERED }
 
     /** How attempts and probes end. */
     enum State {
         OK, FAILED, QUEUE_FULL, TIMED_OUT, CONNECT_ERROR, RESET_BY_PEER, CANCELED, IGNORED
     }
 
-    /** One server of the list; {@code launchedUs} 0 means long ago. */
-    record ServerEntry(String server, int placeNo, Stage stage, long launchedUs, String model, String zone,
-                       double units) {}
+    /** One server of the list; {@code startedAtUs} 0 means long ago. */
+    record ServerEntry(String server, int placeNo, Stage stage, long startedAtUs, String model, String zone,
+                       double weight) {}
 
     /** All settings of a site, as given at start. */
     record Settings(Blend blend, Bounds bounds, Clients clients, String family, FamilyInfo familyInfo, Fees fees,
--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -203,8 +203,8 @@
         }
         for (ServerEntry entry : fleet.entries()) {
             Server s = servers.get(entry.server());
-            if (s == null || entry.launchedUs() > s.launchedUs) {
-                s = new Server(entry.server(), entry.placeNo(), entry.launchedUs());
+            if (s == null || entry.startedAtUs() > s.startedAtUs) {
+                s = new Server(entry.server(), entry.placeNo(), entry.startedAtUs());
                 for (Server before : servers.values()) {
                     s.usualLines = before.place == s.place ? before.usualLines : s.usualLines;
                 }
@@ -594,7 +594,7 @@
     }
 
     private long coldSinceUs(Server s) {
-        return Math.max(s.launchedUs, s.coldSeenUs);
+        return Math.max(s.startedAtUs, s.coldSeenUs);
     }
 
     private boolean cold(Server s) {
@@ -842,7 +842,7 @@
         Stage stage = Stage.HEALTHY;
         final int place;
         String zone = "";
-        final long launchedUs;
+        final long startedAtUs;
         long coldSeenUs;
         boolean downSeen;
         /** A server just learnt of may be pressed or cold: control is on, at the floor, for an interval. */
@@ -868,10 +868,10 @@
         double canTake = -1;
         double queue = -1;
 
-        Server(String id, int place, long launchedUs) {
+        Server(String id, int place, long startedAtUs) {
             this.id = id;
             this.place = place;
-            this.launchedUs = launchedUs;
+            this.startedAtUs = startedAtUs;
         }
 
         void sample(long us) {
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -93,8 +93,8 @@
         List<ServerEntry> entries = new ArrayList<>();
         for (Upstream p : peers.values()) {
             boolean ready = p.watchdog.state() == Watchdog.State.OKAY && !p.draining;
-            entries.add(new ServerEntry(p.peer.host(), p.peer.group(), ready ? Stage.HEALTHY : Stage.CORDONED,
-                p.launchedUs, "", p.peer.zone(), 1));
+            entries.add(new ServerEntry(p.peer.host(), p.peer.group(), ready ? Stage.HEALTHY : Stage.DRAINING,
+                p.startedAtUs, "", p.peer.zone(), 1));
         }
         core.fleet(new Fleet(scope, 0, entries), dead);
     }
@@ -247,7 +247,7 @@
         final Watchdog watchdog;
         Connection connection;
         boolean draining;
-        long launchedUs;
+        long startedAtUs;
         private long stateId;
 
         Upstream(DiameterConfig.Peer peer) {
@@ -286,10 +286,10 @@
             boolean anew = stateId != 0 && c.stateId() > stateId;
             stateId = Math.max(stateId, c.stateId());
             if (anew) {
-                launchedUs = clock.nowUs();
+                startedAtUs = clock.nowUs();
                 legs.values().removeIf(leg -> leg.at == this && bySession.remove(leg.session, leg));
                 owed.forgetIf(o -> o.at == this);
-                tell(Scope.COMPLETE, Map.of(peer.host(), launchedUs));
+                tell(Scope.COMPLETE, Map.of(peer.host(), startedAtUs));
             }
         }
 
@@ -337,7 +337,7 @@
             log.accept("diameter: " + peer.host() + " " + from + " -> " + to);
             if (from == Watchdog.State.REOPEN && to == Watchdog.State.OKAY) {
                 // What was away may have started anew: it is cold.
-                launchedUs = clock.nowUs();
+                startedAtUs = clock.nowUs();
             }
             tell(Scope.COMPLETE, Map.of());
         }
--- a/src/main/java/grebewick/discovery/replica/PrimaryZones.java
+++ b/src/main/java/grebewick/discovery/replica/PrimaryZones.java
@@ -3,6 +3,7 @@
 import grebewick.config.ConfigurationException;
 import grebewick.config.Endpoint;
 import grebewick.core.CallControl.ServerEntry;
+import grebewick.core.CallControl.Stage;
 import grebewick.discovery.transfer.ZoneContent;
 import grebewick.discovery.transfer.ZoneVersion;
 import java.nio.charset.StandardCharsets;
@@ -73,7 +74,12 @@
 
     private static String line(Endpoint server) {
         ServerEntry e = server.entry();
-        return String.join("|", e.server(), e.zone(), server.address().toString(), e.stage().name(), e.model(),
-            Integer.toString(e.placeNo()), Long.toString(e.launchedUs()), Double.toString(e.units())) + "\n";
+        return String.join("|", e.server(), e.zone(), server.address().toString(), word(e.stage()), e.model(),
+            Integer.toString(e.placeNo()), Long.toString(e.startedAtUs()), Double.toString(e.weight())) + "\n";
+    }
+
+    /** The words of the digests in files of marks: another word would give each zone with a draining server a new version. */
+    private static String word(Stage stage) {
+        return stage == Stage.DRAINING ? "CORDONED" : stage.name();
     }
 }
--- a/src/main/java/grebewick/discovery/replica/ZoneFile.java
+++ b/src/main/java/grebewick/discovery/replica/ZoneFile.java
@@ -94,7 +94,7 @@
     private static Stage stage(String field, String status) {
         return switch (status) {
             case "up" -> Stage.HEALTHY;
-            case "draining" -> Stage.CORDONED;
+            case "draining" -> Stage.DRAINING;
             default -> throw new ConfigurationException(field + ": field status is neither up nor draining");
         };
     }
--- a/src/main/java/grebewick/discovery/transfer/ServerListMerger.java
+++ b/src/main/java/grebewick/discovery/transfer/ServerListMerger.java
@@ -22,8 +22,8 @@
 
     /** The later start counts; of one start the drain, which is never undone. */
     private static Endpoint later(Endpoint one, Endpoint other) {
-        long startedUs = one.entry().launchedUs();
-        long otherStartedUs = other.entry().launchedUs();
+        long startedUs = one.entry().startedAtUs();
+        long otherStartedUs = other.entry().startedAtUs();
         if (startedUs != otherStartedUs) {
             return startedUs > otherStartedUs ? one : other;
         }
--- a/src/main/java/grebewick/discovery/transfer/ServerRecords.java
+++ b/src/main/java/grebewick/discovery/transfer/ServerRecords.java
@@ -42,7 +42,7 @@
     /** The records of a server. */
     static List<Record> of(Name zone, Endpoint server) {
         ServerEntry entry = server.entry();
-        int weight = (int) Math.round(entry.units() * WEIGHT_SCALE);
+        int weight = (int) Math.round(entry.weight() * WEIGHT_SCALE);
         if (entry.stage() == Stage.DEREGISTERED || weight < 0 || weight > MOST_16_BITS || !isSayable(entry)) {
             throw new IllegalArgumentException("a server that no record can say: " + entry);
         }
@@ -54,7 +54,7 @@
                     server.address().port(), target),
                 new ARecord(target, DClass.IN, 0, address),
                 new TXTRecord(target, DClass.IN, 0, List.of("kind=" + entry.model(), "cell=" + entry.placeNo(),
-                    "started=" + entry.launchedUs() / US_PER_MS)));
+                    "started=" + entry.startedAtUs() / US_PER_MS)));
         } catch (TextParseException | UnknownHostException e) {
             throw new IllegalArgumentException("a server that no record can say: " + server, e);
         }
@@ -123,7 +123,7 @@
             throw malformed("a server with other facts: " + target);
         }
         ServerEntry entry = new ServerEntry(target.getLabelString(0), Integer.parseInt(fact(facts.get(1), "cell=")),
-            priority == 0 ? Stage.HEALTHY : Stage.CORDONED,
+            priority == 0 ? Stage.HEALTHY : Stage.DRAINING,
             Math.multiplyExact(Long.parseLong(fact(facts.get(2), "started=")), US_PER_MS), fact(facts.get(0), "kind="),
             target.getLabelString(1), parts.service.getWeight() / WEIGHT_SCALE);
         if (!isSayable(entry)) {
--- a/src/main/java/grebewick/discovery/transfer/TransferSize.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferSize.java
@@ -66,7 +66,7 @@
         int labels = entry.server().length() + entry.zone().length() + 2;
         // The target of an SRV record is never compressed; that of the A record is the first to be pointed at.
         int service = SERVICE + labels + zone.length() + 1;
-        int text = TEXT + entry.model().length() + digits(entry.placeNo()) + digits(entry.launchedUs() / US_PER_MS);
+        int text = TEXT + entry.model().length() + digits(entry.placeNo()) + digits(entry.startedAtUs() / US_PER_MS);
         return service + ADDRESS + labels + text;
     }
 
--- a/src/main/java/grebewick/lab/ReplicaCostBench.java
+++ b/src/main/java/grebewick/lab/ReplicaCostBench.java
@@ -70,7 +70,7 @@
         ReplicaState state = new ReplicaState(new HistoryLimits(64, 1 << 20), NO_LIMITS);
         state.serve(List.of(ZONE));
         ZoneContent first = content(FIRST, size, Stage.HEALTHY);
-        ZoneContent second = content(FIRST.next(), size, Stage.CORDONED);
+        ZoneContent second = content(FIRST.next(), size, Stage.DRAINING);
         state.take(ZONE, first);
         state.take(ZONE, second);
         byte[] current = query(Optional.of(second.version()));
--- a/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
+++ b/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
@@ -78,7 +78,7 @@
         core.fleet(new Fleet(Scope.COMPLETE, 0, used.stream().map(Endpoint::entry).toList()), Map.of());
         long nowUs = clock.nowUs();
         for (Endpoint each : whole) {
-            long launchedUs = each.entry().launchedUs();
+            long launchedUs = each.entry().startedAtUs();
             if (launchedUs > startedUs.getOrDefault(each.entry().server(), 0L)) {
                 startedUs.put(each.entry().server(), launchedUs);
                 times.held(launchedUs, nowUs);
--- a/src/main/java/grebewick/lab/fleet/ReplicaControlPlane.java
+++ b/src/main/java/grebewick/lab/fleet/ReplicaControlPlane.java
@@ -68,7 +68,7 @@
     }
 
     private static Endpoint endpoint(Host host) {
-        return new Endpoint(new ServerEntry(host.id(), host.group(), host.drains() ? Stage.CORDONED : Stage.HEALTHY,
+        return new Endpoint(new ServerEntry(host.id(), host.group(), host.drains() ? Stage.DRAINING : Stage.HEALTHY,
             host.startedMs() * 1000, "std", host.zone(), UNITS), new Address("127.0.0.1", host.port()));
     }
 
--- a/src/main/java/grebewick/names/FleetPoller.java
+++ b/src/main/java/grebewick/names/FleetPoller.java
@@ -280,8 +280,8 @@
 
     private Endpoint draining(Endpoint e) {
         ServerEntry s = e.entry();
-        return !drains.contains(s.server()) ? e : new Endpoint(new ServerEntry(s.server(), s.placeNo(), Stage.CORDONED,
-            s.launchedUs(), s.model(), s.zone(), s.units()), e.address());
+        return !drains.contains(s.server()) ? e : new Endpoint(new ServerEntry(s.server(), s.placeNo(), Stage.DRAINING,
+            s.startedAtUs(), s.model(), s.zone(), s.weight()), e.address());
     }
 
     /**
@@ -310,7 +310,7 @@
         final Endpoint before;
         ARecord address;
         int place;
-        long launchedUs;
+        long startedAtUs;
         String model;
         boolean asksAddress;
         /** Heard with this list or since. */
@@ -342,11 +342,11 @@
                 // Read before anything is changed: what makes no sense changes nothing.
                 long launched = Long.parseLong(fact(text, "started", "0")) * 1000;
                 place = Integer.parseInt(fact(text, "cell", "-1"));
-                launchedUs = launched;
+                startedAtUs = launched;
                 model = fact(text, "kind", "");
                 asksText = false;
                 // Its address may be another's by now, if this is a new start.
-                asksAddress |= !sureOfAddress && before != null && launchedUs > before.entry().launchedUs();
+                asksAddress |= !sureOfAddress && before != null && startedAtUs > before.entry().startedAtUs();
                 return true;
             }
             return false;
@@ -367,14 +367,14 @@
                 return null;
             }
             String[] labels = name.split("\\.");
-            Stage stage = srv.getPriority() == 0 ? Stage.HEALTHY : Stage.CORDONED;
+            Stage stage = srv.getPriority() == 0 ? Stage.HEALTHY : Stage.DRAINING;
             String zone = labels.length > 1 ? labels[1] : "";
-            double units = srv.getWeight() / 10.0;
+            double weight = srv.getWeight() / 10.0;
             Address at = new Address(address != null ? address.getAddress().getHostAddress() : before.address().host(),
                 srv.getPort());
             boolean sure = !isUnsure();
             return new Endpoint(new ServerEntry(labels[0], sure ? place : before.entry().placeNo(), stage,
-                sure ? launchedUs : before.entry().launchedUs(), sure ? model : before.entry().model(), zone, units), at);
+                sure ? startedAtUs : before.entry().startedAtUs(), sure ? model : before.entry().model(), zone, weight), at);
         }
     }
 
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -148,12 +148,12 @@
         now.forEach((id, e) -> {
             Line line = lines.get(id);
             if (line != null) {
-                if (e.entry().launchedUs() > line.launchedUs) {
-                    dead.put(id, e.entry().launchedUs());
+                if (e.entry().startedAtUs() > line.launchedUs) {
+                    dead.put(id, e.entry().startedAtUs());
                 }
-                line.update(e.address(), e.entry().launchedUs());
+                line.update(e.address(), e.entry().startedAtUs());
             } else {
-                line = new Line(id, e.address(), e.entry().launchedUs(), client, quota, new ServerReconnects(budget, random),
+                line = new Line(id, e.address(), e.entry().startedAtUs(), client, quota, new ServerReconnects(budget, random),
                     clock, timers, this, log);
                 lines.put(id, line);
                 line.connect();
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -121,8 +121,8 @@
     @ValueSource(strings = {CANCELS, "c closes"})
     void whileTheModuleHeldIt(String leaves) {
         s.on(() -> {
-            node.tell(Scope.COMPLETE, List.of(endpoint("s1", one.address().port(), Stage.CORDONED, 0),
-                endpoint("s2", two.address().port(), Stage.CORDONED, 1)));
+            node.tell(Scope.COMPLETE, List.of(endpoint("s1", one.address().port(), Stage.DRAINING, 0),
+                endpoint("s2", two.address().port(), Stage.DRAINING, 1)));
             return null;
         });
         s.play("c > INVITE 01\n c has no more\n" + leaves + "\n d has no more");
@@ -162,7 +162,7 @@
     void aServerThatBeganToDrainMeanwhileIsSentNothing() {
         s.play("loop is late\n c > INVITE 01\n c has no more");
         s.on(() -> {
-            node.tell(Scope.COMPLETE, List.of(endpoint("s1", one.address().port(), Stage.CORDONED, 0), two));
+            node.tell(Scope.COMPLETE, List.of(endpoint("s1", one.address().port(), Stage.DRAINING, 0), two));
             return null;
         });
         s.play("""
--- a/src/test/java/grebewick/NodeDiscoveryTest.java
+++ b/src/test/java/grebewick/NodeDiscoveryTest.java
@@ -115,7 +115,7 @@
             c < 200 BYE 01
             s1 < release 01 16""");
         s.on(() -> {
-            list(2, Stage.CORDONED);
+            list(2, Stage.DRAINING);
             return null;
         });
         poll();
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -100,8 +100,8 @@
     @Test
     void withoutAServerACallIsRefusedAtOnce() {
         s.on(() -> {
-            node.tell(Scope.COMPLETE, List.of(endpoint("s1", one.address().port(), Stage.CORDONED, 0),
-                endpoint("s2", two.address().port(), Stage.CORDONED, 1)));
+            node.tell(Scope.COMPLETE, List.of(endpoint("s1", one.address().port(), Stage.DRAINING, 0),
+                endpoint("s2", two.address().port(), Stage.DRAINING, 1)));
             return null;
         });
         s.play("""
@@ -196,7 +196,7 @@
             s.client("e", new SipDialect(), s.await(waits::start));
             s.play("e > INVITE 01\n e has no more\n s2 has no more");
             s.on(() -> {
-                waits.tell(Scope.COMPLETE, List.of(endpoint("s3", mute.getLocalPort(), Stage.CORDONED, 0), two));
+                waits.tell(Scope.COMPLETE, List.of(endpoint("s3", mute.getLocalPort(), Stage.DRAINING, 0), two));
                 return null;
             });
             s.play("s2 < set-up 01*\n s2 > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01\n e < 200 BYE 01\n"
@@ -222,7 +222,7 @@
                     return trunk.unwritten() > 0;
                 });
                 s.on(() -> {
-                    trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.CORDONED, 0)));
+                    trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.DRAINING, 0)));
                     trunk.recall();
                     return null;
                 });
--- a/src/test/java/grebewick/RestartTest.java
+++ b/src/test/java/grebewick/RestartTest.java
@@ -40,7 +40,7 @@
     void start() {
         ports1 = s.server("s1", new TrunkDialect());
         ports2 = s.server("s2", new TrunkDialect());
-        s.actor("n0", Map.of("starts", () -> starts(Stage.HEALTHY), "starts beside a draining s2", () -> starts(Stage.CORDONED),
+        s.actor("n0", Map.of("starts", () -> starts(Stage.HEALTHY), "starts beside a draining s2", () -> starts(Stage.DRAINING),
             "is killed", this::kill, "is told to end", this::terminate, "has ended", () -> s.until(() -> ended)));
         s.play("n0 starts");
         s.client("c", new SipDialect(), port);
--- a/src/test/java/grebewick/benchlink/WireTest.java
+++ b/src/test/java/grebewick/benchlink/WireTest.java
@@ -90,7 +90,7 @@
             "{\"Fleet\":{\"GatewayId\":\"gateway/3\",\"Scope\":\"Error\",\"Index\":1}}") + "]}");
         assertEquals(List.of(
             new Fleet(Scope.PERSISTED, 41, List.of(new ServerEntry("a:1", 3, Stage.HEALTHY, 0, "", "", 1))),
-            new Fleet(Scope.PARTIAL, 41, List.of(new ServerEntry("b:1", 4, Stage.CORDONED, 0, "", "", 1))),
+            new Fleet(Scope.PARTIAL, 41, List.of(new ServerEntry("b:1", 4, Stage.DRAINING, 0, "", "", 1))),
             new Fleet(Scope.ERROR, 1, List.of())), seen);
     }
 
--- a/src/test/java/grebewick/config/NodeConfigTest.java
+++ b/src/test/java/grebewick/config/NodeConfigTest.java
@@ -35,8 +35,8 @@
         assertThat(c.seed()).isEqualTo(-1);
         assertThat(c.index()).isEqualTo(41);
         assertThat(c.known()).singleElement().satisfies(e -> {
-            assertThat(e.entry().stage()).isEqualTo(Stage.CORDONED);
-            assertThat(e.entry().launchedUs()).isEqualTo(5000);
+            assertThat(e.entry().stage()).isEqualTo(Stage.DRAINING);
+            assertThat(e.entry().startedAtUs()).isEqualTo(5000);
             assertThat(e.entry().placeNo()).isEqualTo(2);
         });
         assertThat(c.settings().familyInfo().releaseUs()).as("with its margin").isEqualTo(560_000);
--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -31,7 +31,7 @@
 
     private long call() {
         core.fleet(new Fleet(Scope.PERSISTED, 1, List.of(Sites.entry("s1", 0, Stage.HEALTHY, 0),
-            Sites.entry("s2", 1, Stage.CORDONED, 0))), Map.of());
+            Sites.entry("s2", 1, Stage.DRAINING, 0))), Map.of());
         return core.offer(new Offer<>(1, "a", "55", 3_000_000, false, false, 1, 0, -1, "offer"), this);
     }
 
--- a/src/test/java/grebewick/core/LogicTest.java
+++ b/src/test/java/grebewick/core/LogicTest.java
@@ -236,7 +236,7 @@
 
     @Test
     void drainsBindWhateverOwnEvidenceSays() {
-        for (Stage stage : List.of(Stage.CORDONED, Stage.DEREGISTERED)) {
+        for (Stage stage : List.of(Stage.DRAINING, Stage.DEREGISTERED)) {
             Rig rig = two();
             rig.feed(new Fleet(Scope.PARTIAL, 2, List.of(at("s0", 0, stage, 0))));
             attempt(rig.offer(0), "s1");
--- a/src/test/java/grebewick/core/Rig.java
+++ b/src/test/java/grebewick/core/Rig.java
@@ -50,8 +50,8 @@
         return new ServerEntry(id, place, Stage.HEALTHY, 0, "m", "z" + place, 1);
     }
 
-    static ServerEntry at(String id, int place, Stage stage, long launchedUs) {
-        return new ServerEntry(id, place, stage, launchedUs, "m", "z" + place, 1);
+    static ServerEntry at(String id, int place, Stage stage, long startedAtUs) {
+        return new ServerEntry(id, place, stage, startedAtUs, "m", "z" + place, 1);
     }
 
     /** Feeds one event; returns what it led to, reminders and log lines apart. */
--- a/src/test/java/grebewick/discovery/DeterministicSubsetTest.java
+++ b/src/test/java/grebewick/discovery/DeterministicSubsetTest.java
@@ -32,9 +32,9 @@
         List<Endpoint> list = list(100);
         List<Endpoint> chosen = subset.of(list);
         assertThat(chosen).hasSize(10).containsAll(list.subList(0, 8));
-        list.set(3, server(3, Stage.CORDONED));
+        list.set(3, server(3, Stage.DRAINING));
         List<Endpoint> next = subset.of(list);
-        assertThat(next).hasSize(11).contains(server(3, Stage.CORDONED));
+        assertThat(next).hasSize(11).contains(server(3, Stage.DRAINING));
         list.remove(3);
         assertThat(subset.of(list)).hasSize(10).isSubsetOf(next);
         assertThat(log).containsExactly("servers: 10 of 100 are in use, as the descriptors bear no more");
@@ -64,11 +64,11 @@
         assertThat(new DeterministicSubset(40, List.of(), "n2@10.0.0.2:5070", log::add).of(list)).isNotEqualTo(before);
         List<String> had = before.stream().map(e -> e.entry().server()).toList();
         for (int i = 0; i < 300; i += 3) {
-            list.set(i, server(i, Stage.CORDONED));
+            list.set(i, server(i, Stage.DRAINING));
         }
         List<Endpoint> after = new DeterministicSubset(40, List.of(), "n1@10.0.0.1:5070", log::add).of(list);
         assertThat(after.stream().map(e -> e.entry().server())).containsAll(had);
         assertThat(after.stream().filter(e -> e.entry().stage() == Stage.HEALTHY)).hasSize(40);
-        assertThat(after.stream().filter(e -> e.entry().stage() == Stage.CORDONED)).hasSizeLessThan(40);
+        assertThat(after.stream().filter(e -> e.entry().stage() == Stage.DRAINING)).hasSizeLessThan(40);
     }
 }
--- a/src/test/java/grebewick/discovery/replica/PrimaryZonesTest.java
+++ b/src/test/java/grebewick/discovery/replica/PrimaryZonesTest.java
@@ -39,7 +39,7 @@
         assertThat(zones.get(ZONE)).containsExactly(
             new Endpoint(new ServerEntry("s-1", 2, Stage.HEALTHY, 1_700_000_000_000_000L, "std", "east-1", 4),
                 new Address("10.1.0.1", 5070)),
-            new Endpoint(new ServerEntry("s-2", 2, Stage.CORDONED, 1_700_000_000_000_000L, "std", "east-1", 4),
+            new Endpoint(new ServerEntry("s-2", 2, Stage.DRAINING, 1_700_000_000_000_000L, "std", "east-1", 4),
                 new Address("10.1.0.2", 5070)),
             new Endpoint(new ServerEntry("s-3", -1, Stage.HEALTHY, 0, "", "b", 1), new Address("10.1.0.3", 1)));
         assertThat(ZoneFile.parse(of()).get(ZONE)).isEmpty();
@@ -70,6 +70,14 @@
                 .hasMessageContaining(message));
     }
 
+    /** Files of marks outlive an update of the program: the digest of the same servers may not change. */
+    @Test
+    void theDigestOfAZoneIsTheSameFromReleaseToRelease() {
+        List<Endpoint> servers = ZoneFile.parse(of(server(1, "up"), server(2, "draining"))).get(ZONE);
+        assertThat(PrimaryZones.digest(servers))
+            .isEqualTo("b3199e8fda5435164337353ba94815f092c43fee79b9d4c49fdc2610b8eed30b");
+    }
+
     @Test
     void aZoneGetsTheNextNumberWhenItsServersDiffer() {
         PrimaryZones first = NEW.next(ZoneFile.parse(of(server(1, "up"), server(2, "up"))));
--- a/src/test/java/grebewick/discovery/replica/ZoneJournalTest.java
+++ b/src/test/java/grebewick/discovery/replica/ZoneJournalTest.java
@@ -152,8 +152,8 @@
 
     private static Endpoint toggled(Endpoint server) {
         ServerEntry e = server.entry();
-        Stage stage = e.stage() == Stage.HEALTHY ? Stage.CORDONED : Stage.HEALTHY;
-        return new Endpoint(new ServerEntry(e.server(), e.placeNo(), stage, e.launchedUs(), e.model(), e.zone(), e.units()),
+        Stage stage = e.stage() == Stage.HEALTHY ? Stage.DRAINING : Stage.HEALTHY;
+        return new Endpoint(new ServerEntry(e.server(), e.placeNo(), stage, e.startedAtUs(), e.model(), e.zone(), e.weight()),
             server.address());
     }
 
--- a/src/test/java/grebewick/discovery/transfer/DnsTransferClientTest.java
+++ b/src/test/java/grebewick/discovery/transfer/DnsTransferClientTest.java
@@ -152,7 +152,7 @@
         drain("s-3");
         until(this::isCurrent);
         assertThat(s.on(() -> transfers)).isEqualTo(1);
-        assertThat(published.get(published.size() - 1)).filteredOn(e -> e.entry().stage() == Stage.CORDONED).hasSize(1);
+        assertThat(published.get(published.size() - 1)).filteredOn(e -> e.entry().stage() == Stage.DRAINING).hasSize(1);
         s.on(() -> {
             for (int i = 0; i < 40; i++) {
                 primary.drain(ZONE, "s-" + i);
--- a/src/test/java/grebewick/discovery/transfer/ServerListBudgetTest.java
+++ b/src/test/java/grebewick/discovery/transfer/ServerListBudgetTest.java
@@ -54,7 +54,7 @@
     @Test
     void ofOneStartTheDrainCountsWhicheverZoneSaysSo() {
         Endpoint well = SimPrimary.server("s-1", Stage.HEALTHY, 1);
-        Endpoint draining = SimPrimary.server("s-1", Stage.CORDONED, 1);
+        Endpoint draining = SimPrimary.server("s-1", Stage.DRAINING, 1);
         assertThat(ServerListMerger.merge(List.of(List.of(draining), List.of(well)))).containsExactly(draining);
         assertThat(ServerListMerger.merge(List.of(List.of(well), List.of(draining)))).containsExactly(draining);
     }
--- a/src/test/java/grebewick/discovery/transfer/ServerListClientTest.java
+++ b/src/test/java/grebewick/discovery/transfer/ServerListClientTest.java
@@ -47,7 +47,7 @@
         net.primary.drain(ZONE, "s-3");
         net.pass(IN_FORCE);
         assertCurrent(client);
-        assertThat(stage(client, "s-3")).isEqualTo(Stage.CORDONED);
+        assertThat(stage(client, "s-3")).isEqualTo(Stage.DRAINING);
         assertThat(client.client().statistics().copies()).as("of the start").isEqualTo(1);
         assertThat(client.client().statistics().incrementals()).isEqualTo(1);
     }
@@ -212,7 +212,7 @@
             replica(1 - i % 2).refresh();
             net.pass(IN_FORCE);
             for (int s = 0; s < 20; s++) {
-                assertThat(stage(client, "s-" + i)).isEqualTo(Stage.CORDONED);
+                assertThat(stage(client, "s-" + i)).isEqualTo(Stage.DRAINING);
                 net.pass(0.5);
             }
         }
--- a/src/test/java/grebewick/discovery/transfer/SimPrimary.java
+++ b/src/test/java/grebewick/discovery/transfer/SimPrimary.java
@@ -67,7 +67,7 @@
 
     /** Sets a server draining. */
     void drain(String zone, String id) {
-        change(zone, servers -> servers.computeIfPresent(id, (name, e) -> server(name, Stage.CORDONED, e.address().port())));
+        change(zone, servers -> servers.computeIfPresent(id, (name, e) -> server(name, Stage.DRAINING, e.address().port())));
     }
 
     /** Numbering starts anew, at a low serial of the next epoch. */
--- a/src/test/java/grebewick/discovery/transfer/TransferSamples.java
+++ b/src/test/java/grebewick/discovery/transfer/TransferSamples.java
@@ -33,7 +33,7 @@
 
     private Endpoint server(String id) {
         long startedMs = random.nextBoolean() ? 0 : 1_700_000_000_000L + random.nextInt(LATE_STARTS_MS);
-        ServerEntry entry = new ServerEntry(id, random.nextInt(9) - 1, random.nextInt(4) == 0 ? Stage.CORDONED : Stage.HEALTHY,
+        ServerEntry entry = new ServerEntry(id, random.nextInt(9) - 1, random.nextInt(4) == 0 ? Stage.DRAINING : Stage.HEALTHY,
             startedMs * 1000, random.nextBoolean() ? "std" : "big one", "east-" + random.nextInt(5), random.nextInt(100) / 10.0);
         return new Endpoint(entry, new Address("10." + random.nextInt(256) + "." + random.nextInt(256) + ".9",
             1 + random.nextInt(65_535)));
--- a/src/test/java/grebewick/names/FleetPollerTest.java
+++ b/src/test/java/grebewick/names/FleetPollerTest.java
@@ -97,7 +97,7 @@
         priority = 1;
         serial = 4;
         s.play("wait 100");
-        s.until(() -> told.stream().anyMatch(list -> list.get(0).entry().stage() == Stage.CORDONED));
+        s.until(() -> told.stream().anyMatch(list -> list.get(0).entry().stage() == Stage.DRAINING));
     }
 
     private byte[] answer(byte[] bytes) {
@@ -148,9 +148,9 @@
         assertThat(e.entry().server()).isEqualTo("s-1");
         assertThat(e.entry().zone()).isEqualTo("east");
         assertThat(e.entry().placeNo()).isEqualTo(2);
-        assertThat(e.entry().stage()).isEqualTo(Stage.CORDONED);
-        assertThat(e.entry().launchedUs()).isEqualTo(1_700_000_000_123_000L);
-        assertThat(e.entry().units()).isEqualTo(4);
+        assertThat(e.entry().stage()).isEqualTo(Stage.DRAINING);
+        assertThat(e.entry().startedAtUs()).isEqualTo(1_700_000_000_123_000L);
+        assertThat(e.entry().weight()).isEqualTo(4);
         poll(1);
         assertThat(s.on(() -> told.size())).isEqualTo(1);
     }
@@ -191,7 +191,7 @@
         serial = 10;
         poll(3);
         s.until(() -> told.size() == 2);
-        assertThat(told.get(1).get(0).entry().stage()).isEqualTo(Stage.CORDONED);
+        assertThat(told.get(1).get(0).entry().stage()).isEqualTo(Stage.DRAINING);
     }
 
     /** Guards against a drain heeded late, as the other records of a server got lost. */
@@ -207,7 +207,7 @@
         });
         poll(2);
         s.until(() -> told.size() == 1);
-        assertThat(told.get(0).get(0).entry().stage()).isEqualTo(Stage.CORDONED);
+        assertThat(told.get(0).get(0).entry().stage()).isEqualTo(Stage.DRAINING);
         assertThat(told.get(0).get(0).entry().placeNo()).isEqualTo(2);
     }
 
@@ -239,7 +239,7 @@
         s.until(() -> log.stream().anyMatch(line -> line.contains("no open question")));
         s.play("wait 100").until(() -> held.size() >= 32);
         assertThat(heard).hasSize(1);
-        assertThat(heard.get(0).get(0).entry().stage()).isEqualTo(Stage.CORDONED);
+        assertThat(heard.get(0).get(0).entry().stage()).isEqualTo(Stage.DRAINING);
     }
 
     private void sends(DatagramSocket from, DatagramPacket question) {
@@ -287,14 +287,14 @@
             }
             return !told.isEmpty() && told.get(told.size() - 1).size() == 1024;
         });
-        assertThat(s.on(() -> told.get(told.size() - 1).get(1023).entry().launchedUs())).isEqualTo(1_700_000_001_023_000L);
+        assertThat(s.on(() -> told.get(told.size() - 1).get(1023).entry().startedAtUs())).isEqualTo(1_700_000_001_023_000L);
         int before = s.on(() -> {
             hosts.set(1023, new StandInNames.Host("s-000003ff", "east", 6023, 7, true, 1_700_000_001_023L));
             names.list(hosts);
             return told.size();
         });
         s.play("wait 100").until(() -> told.size() > before);
-        assertThat(s.on(() -> told.get(before).get(1023).entry().stage())).isEqualTo(Stage.CORDONED);
+        assertThat(s.on(() -> told.get(before).get(1023).entry().stage())).isEqualTo(Stage.DRAINING);
     }
 
     /** Guards against a list too long for its answers: it names drains all the same, and a whole list has the last word. */
@@ -308,7 +308,7 @@
             return null;
         });
         s.until(() -> told.size() == 1);
-        assertThat(told.get(0).get(0).entry().stage()).isEqualTo(Stage.CORDONED);
+        assertThat(told.get(0).get(0).entry().stage()).isEqualTo(Stage.DRAINING);
         priority = 0;
         cut = false;
         s.play("wait 200").until(() -> told.size() == 2);
--- a/src/test/java/grebewick/play/Sites.java
+++ b/src/test/java/grebewick/play/Sites.java
@@ -27,8 +27,8 @@
         return SettingsReader.read(Fields.parse("settings", json));
     }
 
-    public static ServerEntry entry(String id, int place, Stage stage, long launchedUs) {
-        return new ServerEntry(id, place, stage, launchedUs, "m", "z" + place, 1);
+    public static ServerEntry entry(String id, int place, Stage stage, long startedAtUs) {
+        return new ServerEntry(id, place, stage, startedAtUs, "m", "z" + place, 1);
     }
 
     /** The rest of a scenario's line as {@code key=value} pairs. */
