--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -26,10 +26,10 @@
     /** us. After a call's end, for the module to answer first. */
     private static final long GUARD_US = 5_000;
 
-    /** Cut calls that one turn ends, and us to the next: 500 at once must not keep set-ups waiting. */
-    private static final int CUTS_A_TURN = 32;
-    private static final long CUTS_GAP_US = 1_000;
-    private static final long CUTS = -1;
+    /** Cut calls that one run ends, and us to the next: 500 at once must not keep set-ups waiting. */
+    private static final int INTERRUPTED_A_RUN = 32;
+    private static final long INTERRUPTED_GAP_US = 1_000;
+    private static final long INTERRUPTED = -1;
 
     private final Settings set;
     private final CallControl module;
@@ -38,23 +38,23 @@
     private final Servers<P> servers;
     private final BiConsumer<Integer, byte[]> peers;
     private final Consumer<String> log;
-    private final Map<Long, Life<P>> calls = new HashMap<>();
+    private final Map<Long, CallState<P>> calls = new HashMap<>();
     private final Map<String, Stage> fleet = new HashMap<>();
-    private final PriorityQueue<Wake> wakes = new PriorityQueue<>(
-        Comparator.comparingLong(Wake::atUs).thenComparingLong(Wake::order));
+    private final PriorityQueue<PendingTimer> pendingTimers = new PriorityQueue<>(
+        Comparator.comparingLong(PendingTimer::atUs).thenComparingLong(PendingTimer::order));
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     /** Calls that can't stand any more, and are yet to be ended; the eldest first. */
-    private final ArrayDeque<Long> cuts = new ArrayDeque<>();
-    private boolean cutsArmed;
-    /** The turn that ended the last slice. */
-    private long cutsTurn;
-    private long turnNo;
+    private final ArrayDeque<Long> interruptedCalls = new ArrayDeque<>();
+    private boolean interruptedArmed;
+    /** The run that ended the last slice. */
+    private long interruptedRun;
+    private long runNo;
     private long order;
     private long nextCall = 1;
     private long nowUs;
     private long armedUs = Long.MAX_VALUE;
     private Runnable armed = () -> {};
-    private boolean turning;
+    private boolean running;
     private int unanswered;
     /** Attempts that wait for what has come in to be read. */
     private final ArrayDeque<Out> leaving = new ArrayDeque<>();
@@ -76,19 +76,19 @@
     /** A caller's call. The answer comes through {@code caller}, at the earliest before this returns. */
     public long offer(Offer<P> offer, Callers<P> caller) {
         long id = nextCall++;
-        turn(() -> {
-            if (!cuts.isEmpty()) {
-                workCuts();
+        runOnce(() -> {
+            if (!interruptedCalls.isEmpty()) {
+                endInterruptedCalls();
             }
-            Life<P> life = new Life<>(id, offer, caller, nowUs + Math.max(0, offer.leftUs() - ANSWER_MARGIN_US));
+            CallState<P> callState = new CallState<>(id, offer, caller, nowUs + Math.max(0, offer.leftUs() - ANSWER_MARGIN_US));
             unanswered++;
-            calls.put(id, life);
+            calls.put(id, callState);
             if (unanswered > set.bounds().maxOpen()) {
-                answer(life, () -> caller.refused(id, set.bounds().maxRetryAfterUs()));
+                answer(callState, () -> caller.refused(id, set.bounds().maxRetryAfterUs()));
                 return;
             }
-            at(life.dropDeadUs + GUARD_US, id, -1);
-            inbox.add(new Call(id, life.dropDeadUs, false, false, offer.isRetry(), offer.units(),
+            at(callState.dropDeadUs + GUARD_US, id, -1);
+            inbox.add(new Call(id, callState.dropDeadUs, false, false, offer.isRetry(), offer.units(),
                 offer.reconnect(), 0, "", offer.hop(), offer.item(), offer.farEnd(), offer.band()));
         });
         return id;
@@ -96,25 +96,25 @@
 
     /** The module's choice of a server. The rules hold here even where the module should be wrong. */
     private void attempt(Attempt a) {
-        Life<P> life = calls.get(a.call());
-        if (life == null) {
+        CallState<P> callState = calls.get(a.call());
+        if (callState == null) {
             log.accept("guard: an attempt for call " + a.call() + ", which is over");
             return;
         }
-        int copy = life.copies++;
-        String breach = breach(life, copy, a.server());
-        if (breach != null) {
-            log.accept("guard: " + breach);
-            inbox.add(new Result(a.call(), copy, State.IGNORED, life.answered, a.server(), 0, 0, List.of()));
+        int copy = callState.copies++;
+        String violation = ruleViolation(callState, copy, a.server());
+        if (violation != null) {
+            log.accept("guard: " + violation);
+            inbox.add(new Result(a.call(), copy, State.IGNORED, callState.answered, a.server(), 0, 0, List.of()));
             return;
         }
-        long leftUs = life.dropDeadUs - nowUs;
+        long leftUs = callState.dropDeadUs - nowUs;
         long waitUs = a.patienceUs() == 0 ? leftUs : Math.min(a.patienceUs(), leftUs);
-        life.out = new Out(life.id, copy, a.server(), nowUs, nowUs + waitUs);
-        at(nowUs + waitUs, life.id, copy);
-        leaving.add(life.out);
+        callState.out = new Out(callState.id, copy, a.server(), nowUs, nowUs + waitUs);
+        at(nowUs + waitUs, callState.id, copy);
+        leaving.add(callState.out);
         if (leaving.size() == 1) {
-            timers.afterInput(() -> turn(this::leave));
+            timers.afterInput(() -> runOnce(this::leave));
         }
     }
 
@@ -124,77 +124,77 @@
      */
     private void leave() {
         for (Out out = leaving.poll(); out != null; out = leaving.poll()) {
-            Life<P> life = calls.get(out.call);
-            if (life == null || life.out != out) {
+            CallState<P> callState = calls.get(out.call);
+            if (callState == null || callState.out != out) {
                 continue;
             }
             if (fleet.get(out.server) != Stage.HEALTHY) {
-                end(life, State.IGNORED, 0, List.of());
+                end(callState, State.IGNORED, 0, List.of());
             } else if (nowUs < out.endUs) {
-                // Else its time ends within this turn, and nothing has left.
+                // Else its time ends within this run, and nothing has left.
                 out.left = true;
-                servers.setUp(out.call, out.copy, out.server, life.offer, Math.max(0, out.endUs - nowUs));
+                servers.setUp(out.call, out.copy, out.server, callState.offer, Math.max(0, out.endUs - nowUs));
             }
         }
     }
 
     /** Why an attempt may not leave, or null. */
-    private String breach(Life<P> life, int copy, String server) {
+    private String ruleViolation(CallState<P> callState, int copy, String server) {
         Stage stage = fleet.get(server);
-        if (life.answered) {
-            return "call " + life.id + " is answered";
-        } else if (life.out != null) {
-            return "call " + life.id + " has an attempt out";
+        if (callState.answered) {
+            return "call " + callState.id + " is answered";
+        } else if (callState.out != null) {
+            return "call " + callState.id + " has an attempt out";
         } else if (copy >= set.bounds().attemptsCap()) {
-            return "call " + life.id + " has no attempts left";
-        } else if (nowUs < life.notBeforeUs) {
-            return "call " + life.id + " awaits its release";
+            return "call " + callState.id + " has no attempts left";
+        } else if (nowUs < callState.notBeforeUs) {
+            return "call " + callState.id + " awaits its release";
         } else if (stage == null) {
             return server + " is not listed";
         } else if (stage != Stage.HEALTHY) {
             return server + " drains or is gone";
         }
-        return nowUs >= life.dropDeadUs ? "call " + life.id + " is past its time" : null;
+        return nowUs >= callState.dropDeadUs ? "call " + callState.id + " is past its time" : null;
     }
 
     /** An attempt ended without standing. */
     public void ended(long call, int copy, State state, long why, List<Double> metrics) {
-        turn(() -> {
-            Life<P> life = calls.get(call);
-            if (life != null && life.out != null && life.out.copy == copy) {
-                end(life, state, why, metrics);
+        runOnce(() -> {
+            CallState<P> callState = calls.get(call);
+            if (callState != null && callState.out != null && callState.out.copy == copy) {
+                end(callState, state, why, metrics);
             }
         });
     }
 
-    private void end(Life<P> life, State state, long why, List<Double> metrics) {
-        Out out = life.out;
-        life.out = null;
+    private void end(CallState<P> callState, State state, long why, List<Double> metrics) {
+        Out out = callState.out;
+        callState.out = null;
         if (state == State.TIMED_OUT || state == State.RESET_BY_PEER || state == State.CANCELED) {
-            life.notBeforeUs = nowUs + set.familyInfo().releaseUs();
-            life.mayHaveRun |= out.left;
+            callState.notBeforeUs = nowUs + set.familyInfo().releaseUs();
+            callState.mayHaveRun |= out.left;
         }
-        life.mayHaveRun |= state == State.FAILED;
-        if (life.answered) {
-            calls.remove(life.id);
+        callState.mayHaveRun |= state == State.FAILED;
+        if (callState.answered) {
+            calls.remove(callState.id);
         }
-        inbox.add(new Result(life.id, out.copy, state, life.answered, out.server, nowUs - out.sentUs, why, metrics));
+        inbox.add(new Result(callState.id, out.copy, state, callState.answered, out.server, nowUs - out.sentUs, why, metrics));
     }
 
     /** An attempt stands; false where nothing waits for it any more and the server is to release it. */
     public boolean stood(long call, int copy, P description, List<Double> metrics) {
-        Life<P> life = calls.get(call);
-        if (life == null || life.out == null || life.out.copy != copy || life.answered) {
+        CallState<P> callState = calls.get(call);
+        if (callState == null || callState.out == null || callState.out.copy != copy || callState.answered) {
             return false;
         }
-        turn(() -> {
-            Out out = life.out;
-            life.out = null;
-            life.standsAt = out.server;
-            life.stoodUs = nowUs;
+        runOnce(() -> {
+            Out out = callState.out;
+            callState.out = null;
+            callState.standsAt = out.server;
+            callState.stoodUs = nowUs;
             unanswered--;
-            life.answered = true;
-            life.caller.stands(call, description);
+            callState.answered = true;
+            callState.caller.stands(call, description);
             if (!metrics.isEmpty()) {
                 inbox.add(new Checked(State.OK, out.server, 0, metrics));
             }
@@ -205,96 +205,96 @@
 
     /** The server ended a standing call. */
     public void over(long call, Ending ending, List<Double> metrics) {
-        turn(() -> {
-            Life<P> life = calls.get(call);
-            if (life != null && life.standsAt != null) {
-                finish(life, ending, metrics);
+        runOnce(() -> {
+            CallState<P> callState = calls.get(call);
+            if (callState != null && callState.standsAt != null) {
+                finish(callState, ending, metrics);
             }
         });
     }
 
-    private void finish(Life<P> life, Ending ending, List<Double> metrics) {
-        calls.remove(life.id);
-        life.caller.released(life.id, ending);
-        inbox.add(new Result(life.id, life.copies - 1, ending == Ending.CUT ? State.RESET_BY_PEER : State.OK, true,
-            life.standsAt, nowUs - life.stoodUs, 0, metrics));
+    private void finish(CallState<P> callState, Ending ending, List<Double> metrics) {
+        calls.remove(callState.id);
+        callState.caller.released(callState.id, ending);
+        inbox.add(new Result(callState.id, callState.copies - 1, ending == Ending.CUT ? State.RESET_BY_PEER : State.OK, true,
+            callState.standsAt, nowUs - callState.stoodUs, 0, metrics));
     }
 
     /** The caller ended a standing call. */
     public void releasedByCaller(long call) {
-        turn(() -> {
-            Life<P> life = calls.get(call);
-            if (life != null && life.standsAt != null) {
+        runOnce(() -> {
+            CallState<P> callState = calls.get(call);
+            if (callState != null && callState.standsAt != null) {
                 calls.remove(call);
-                servers.release(call, life.standsAt);
-                inbox.add(new Result(call, life.copies - 1, State.CANCELED, true, life.standsAt,
-                    nowUs - life.stoodUs, 0, List.of()));
+                servers.release(call, callState.standsAt);
+                inbox.add(new Result(call, callState.copies - 1, State.CANCELED, true, callState.standsAt,
+                    nowUs - callState.stoodUs, 0, List.of()));
             }
         });
     }
 
     /** The caller gave the set-up up: nothing is owed, and what is out is given up. */
     public void hangup(long call) {
-        turn(() -> {
-            Life<P> life = calls.get(call);
-            if (life != null && !life.answered) {
-                answer(life, () -> {});
+        runOnce(() -> {
+            CallState<P> callState = calls.get(call);
+            if (callState != null && !callState.answered) {
+                answer(callState, () -> {});
                 inbox.add(new Hangup(call));
-                if (life.out != null) {
-                    giveUp(life, State.CANCELED);
+                if (callState.out != null) {
+                    giveUp(callState, State.CANCELED);
                 }
             }
         });
     }
 
-    private void giveUp(Life<P> life, State state) {
-        if (life.out.left) {
-            servers.giveUp(life.id, life.out.copy, life.out.server);
+    private void giveUp(CallState<P> callState, State state) {
+        if (callState.out.left) {
+            servers.giveUp(callState.id, callState.out.copy, callState.out.server);
         }
-        end(life, state, 0, List.of());
+        end(callState, state, 0, List.of());
     }
 
     /** The one place where a call that does not stand gets its final answer. */
-    private void answer(Life<P> life, Runnable how) {
-        if (life.answered) {
+    private void answer(CallState<P> callState, Runnable how) {
+        if (callState.answered) {
             return;
         }
-        life.answered = true;
+        callState.answered = true;
         unanswered--;
-        if (life.out == null) {
-            calls.remove(life.id);
+        if (callState.out == null) {
+            calls.remove(callState.id);
         }
         how.run();
     }
 
     /** Answers at once; an attempt still out is given up, as no answer of it could be passed on. */
-    private void answerNow(long call, Consumer<Life<P>> how) {
-        Life<P> life = calls.get(call);
-        if (life != null && !life.answered) {
-            answer(life, () -> how.accept(life));
-            if (life.out != null) {
-                giveUp(life, State.CANCELED);
+    private void answerNow(long call, Consumer<CallState<P>> how) {
+        CallState<P> callState = calls.get(call);
+        if (callState != null && !callState.answered) {
+            answer(callState, () -> how.accept(callState));
+            if (callState.out != null) {
+                giveUp(callState, State.CANCELED);
             }
         }
     }
 
     /** The process ends: who still waits has its answer now. */
     public void answerAll() {
-        turn(() -> List.copyOf(calls.keySet()).forEach(this::lastAnswer));
+        runOnce(() -> List.copyOf(calls.keySet()).forEach(this::lastAnswer));
     }
 
     /** The way to a caller ends from this side: it has its answer now, if it still waits. */
     public void answer(long call) {
-        turn(() -> lastAnswer(call));
+        runOnce(() -> lastAnswer(call));
     }
 
     /** A refusal where no server can have run the call. */
     private void lastAnswer(long call) {
-        answerNow(call, life -> {
-            if ((life.out == null || !life.out.left) && !life.mayHaveRun) {
-                life.caller.refused(call, set.bounds().maxRetryAfterUs());
+        answerNow(call, callState -> {
+            if ((callState.out == null || !callState.out.left) && !callState.mayHaveRun) {
+                callState.caller.refused(call, set.bounds().maxRetryAfterUs());
             } else {
-                life.caller.failed(call);
+                callState.caller.failed(call);
             }
             inbox.add(new Hangup(call));
         });
@@ -304,7 +304,7 @@
 
     /** News of the list; a call that stood at one of {@code dead} before the moment given is cut. */
     public void fleet(Fleet news, Map<String, Long> dead) {
-        turn(() -> {
+        runOnce(() -> {
             if (news.scope() != Scope.PARTIAL && news.scope() != Scope.ERROR) {
                 fleet.clear();
             }
@@ -312,65 +312,65 @@
                 fleet.put(entry.server(), entry.stage());
             }
             inbox.add(news);
-            new TreeMap<>(dead).forEach(this::cut);
+            new TreeMap<>(dead).forEach(this::interrupt);
         });
     }
 
     /** The server's process is known to be dead: it refuses connections. */
     public void died(String server) {
-        turn(() -> cut(server, Long.MAX_VALUE));
+        runOnce(() -> interrupt(server, Long.MAX_VALUE));
     }
 
     /** A call that stood there before {@code beforeUs} can't stand any more. */
-    private void cut(String server, long beforeUs) {
-        List<Life<P>> lost = new ArrayList<>();
-        for (Life<P> life : calls.values()) {
-            if (server.equals(life.standsAt) && life.stoodUs < beforeUs) {
-                lost.add(life);
+    private void interrupt(String server, long beforeUs) {
+        List<CallState<P>> lost = new ArrayList<>();
+        for (CallState<P> callState : calls.values()) {
+            if (server.equals(callState.standsAt) && callState.stoodUs < beforeUs) {
+                lost.add(callState);
             }
         }
-        lost.sort(Comparator.comparingLong(life -> life.id));
-        for (Life<P> life : lost) {
-            if (!life.cut) {
-                life.cut = true;
-                cuts.add(life.id);
+        lost.sort(Comparator.comparingLong(callState -> callState.id));
+        for (CallState<P> callState : lost) {
+            if (!callState.interrupted) {
+                callState.interrupted = true;
+                interruptedCalls.add(callState.id);
             }
         }
-        workCuts();
+        endInterruptedCalls();
     }
 
-    /** Ends one slice of the calls that were cut; the rest follows in turns of its own, and before what is new. */
-    private void workCuts() {
-        // One slice a turn, whatever asks for it.
-        for (int i = 0; i < CUTS_A_TURN && !cuts.isEmpty() && turnNo != cutsTurn; i++) {
-            Life<P> life = calls.get(cuts.poll());
-            if (life != null && life.standsAt != null) {
-                servers.release(life.id, life.standsAt);
-                finish(life, Ending.CUT, List.of());
+    /** Ends one slice of the calls that were cut; the rest follows in runs of its own, and before what is new. */
+    private void endInterruptedCalls() {
+        // One slice a run, whatever asks for it.
+        for (int i = 0; i < INTERRUPTED_A_RUN && !interruptedCalls.isEmpty() && runNo != interruptedRun; i++) {
+            CallState<P> callState = calls.get(interruptedCalls.poll());
+            if (callState != null && callState.standsAt != null) {
+                servers.release(callState.id, callState.standsAt);
+                finish(callState, Ending.CUT, List.of());
             }
         }
-        cutsTurn = turnNo;
-        if (!cuts.isEmpty() && !cutsArmed) {
-            cutsArmed = true;
-            at(nowUs + CUTS_GAP_US, CUTS, 0);
+        interruptedRun = runNo;
+        if (!interruptedCalls.isEmpty() && !interruptedArmed) {
+            interruptedArmed = true;
+            at(nowUs + INTERRUPTED_GAP_US, INTERRUPTED, 0);
         }
     }
 
     /** A report that came unasked, or the end of a probe. */
     public void checked(String server, State state, long costUs, List<Double> metrics) {
-        turn(() -> inbox.add(new Checked(state, server, costUs, metrics)));
+        runOnce(() -> inbox.add(new Checked(state, server, costUs, metrics)));
     }
 
     /** Bytes from another gatekeeper. */
     public void neighbourSays(int peer, byte[] bytes) {
-        turn(() -> inbox.add(new NeighbourSays(peer, bytes)));
+        runOnce(() -> inbox.add(new NeighbourSays(peer, bytes)));
     }
 
-    // ---- turns and time
+    // ---- runs and time
 
-    private void wake() {
+    private void timerFired() {
         armedUs = Long.MAX_VALUE;
-        turn(() -> {});
+        runOnce(() -> {});
     }
 
     /** Calls that still want their answer. */
@@ -383,29 +383,29 @@
         return calls.size();
     }
 
-    /** One turn: time is read once; what a step or the module brings about is told before the turn ends. */
-    private void turn(Runnable step) {
-        if (turning) {
+    /** One run: time is read once; what a step or the module brings about is told before the run ends. */
+    private void runOnce(Runnable step) {
+        if (running) {
             step.run();
             return;
         }
-        turning = true;
-        turnNo++;
+        running = true;
+        runNo++;
         nowUs = Math.max(nowUs, clock.nowUs());
         try {
             step.run();
             deliver();
-            while (!wakes.isEmpty() && wakes.peek().atUs <= nowUs) {
-                due(wakes.poll());
+            while (!pendingTimers.isEmpty() && pendingTimers.peek().atUs <= nowUs) {
+                due(pendingTimers.poll());
                 deliver();
             }
         } finally {
-            turning = false;
+            running = false;
         }
-        if (!wakes.isEmpty() && wakes.peek().atUs < armedUs) {
-            armedUs = wakes.peek().atUs;
+        if (!pendingTimers.isEmpty() && pendingTimers.peek().atUs < armedUs) {
+            armedUs = pendingTimers.peek().atUs;
             armed.run();
-            armed = timers.after(armedUs - nowUs, this::wake);
+            armed = timers.after(armedUs - nowUs, this::timerFired);
         }
     }
 
@@ -420,48 +420,48 @@
         }
     }
 
-    private void due(Wake wake) {
-        if (wake.call == CUTS) {
-            cutsArmed = false;
-            workCuts();
+    private void due(PendingTimer timer) {
+        if (timer.call == INTERRUPTED) {
+            interruptedArmed = false;
+            endInterruptedCalls();
             return;
         }
-        if (wake.call == 0) {
-            inbox.add(new Due(wake.name));
+        if (timer.call == 0) {
+            inbox.add(new Due(timer.name));
             return;
         }
-        Life<P> life = calls.get(wake.call);
-        if (life == null || life.standsAt != null) {
+        CallState<P> callState = calls.get(timer.call);
+        if (callState == null || callState.standsAt != null) {
             return;
         }
-        if (life.out != null && (wake.name < 0 || wake.name == life.out.copy)) {
-            giveUp(life, State.TIMED_OUT);
+        if (callState.out != null && (timer.name < 0 || timer.name == callState.out.copy)) {
+            giveUp(callState, State.TIMED_OUT);
             deliver();
         }
-        if (wake.name < 0 && !life.answered) {
+        if (timer.name < 0 && !callState.answered) {
             // Guards the first rule: whatever the module holds back, the caller has its answer in time.
-            log.accept("guard: call " + life.id + " had no answer at its end");
-            answer(life, () -> life.caller.failed(life.id));
-            inbox.add(new Hangup(life.id));
+            log.accept("guard: call " + callState.id + " had no answer at its end");
+            answer(callState, () -> callState.caller.failed(callState.id));
+            inbox.add(new Hangup(callState.id));
         }
     }
 
     private void at(long momentUs, long call, long name) {
-        wakes.add(new Wake(momentUs, order++, call, name));
+        pendingTimers.add(new PendingTimer(momentUs, order++, call, name));
     }
 
     private void act(Action action) {
         if (action instanceof Attempt a) {
             attempt(a);
         } else if (action instanceof Withdraw a) {
-            Life<P> life = calls.get(a.call());
-            if (life != null && life.out != null && life.out.copy == a.copy()) {
-                giveUp(life, State.CANCELED);
+            CallState<P> callState = calls.get(a.call());
+            if (callState != null && callState.out != null && callState.out.copy == a.copy()) {
+                giveUp(callState, State.CANCELED);
             }
         } else if (action instanceof Refuse a) {
-            answerNow(a.call(), life -> life.caller.refused(life.id, a.notBeforeForUs()));
+            answerNow(a.call(), callState -> callState.caller.refused(callState.id, a.notBeforeForUs()));
         } else if (action instanceof Surrender a) {
-            answerNow(a.call(), life -> life.caller.failed(life.id));
+            answerNow(a.call(), callState -> callState.caller.failed(callState.id));
         } else if (action instanceof Remind a) {
             at(Math.max(a.momentUs(), nowUs + 1), 0, a.name());
         } else if (action instanceof AskLoad a) {
@@ -476,7 +476,7 @@
         // Observe and Fetch: the list is polled all the time.
     }
 
-    private static final class Life<P> {
+    private static final class CallState<P> {
         final long id;
         final Offer<P> offer;
         final Callers<P> caller;
@@ -484,14 +484,14 @@
         int copies;
         Out out;
         boolean answered;
-        boolean cut;
+        boolean interrupted;
         /** An attempt ended in a way that does not prove that it never ran. */
         boolean mayHaveRun;
         String standsAt;
         long stoodUs;
         long notBeforeUs = Long.MIN_VALUE;
 
-        Life(long id, Offer<P> offer, Callers<P> caller, long dropDeadUs) {
+        CallState(long id, Offer<P> offer, Callers<P> caller, long dropDeadUs) {
             this.id = id;
             this.offer = offer;
             this.caller = caller;
@@ -518,8 +518,8 @@
     }
 
     /**
-     * {@code call} 0: the module's reminder; {@link #CUTS}: more calls to cut; else the end of attempt {@code name},
+     * {@code call} 0: the module's reminder; {@link #INTERRUPTED}: more calls to cut; else the end of attempt {@code name},
      * negative: of the call.
      */
-    private record Wake(long atUs, long order, long call, long name) {}
+    private record PendingTimer(long atUs, long order, long call, long name) {}
 }
