--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -168,7 +168,7 @@
 
     private PendingWork pendingWork() {
         return (node == null ? PendingWork.NONE : node.pendingWork()).and(diameter == null ? PendingWork.NONE
-            : new PendingWork(0, diameter.unanswered(), diameter.owed(), 0));
+            : new PendingWork(0, diameter.unanswered(), diameter.pendingTeardowns(), 0));
     }
 
     private ActivityCount activity() {
--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -150,12 +150,12 @@
 
     /** What this gatekeeper would leave behind if it ended now. */
     public PendingWork pendingWork() {
-        return new PendingWork(core.calls() - core.unanswered(), core.unanswered(), front.owed().open() + trunk.owed(),
-            front.unwritten() + trunk.unwritten());
+        return new PendingWork(core.calls() - core.unanswered(), core.unanswered(),
+            front.pendingTeardowns().open() + trunk.owed(), front.unwritten() + trunk.unwritten());
     }
 
     /** Messages from callers and from servers, and ends told, since the start: what the loop was busy with. */
     public ActivityCount activity() {
-        return new ActivityCount(front.taken(), trunk.taken(), front.owed().told());
+        return new ActivityCount(front.taken(), trunk.taken(), front.pendingTeardowns().told());
     }
 }
--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -25,7 +25,7 @@
 final class DiameterFront implements Connection.Owner {
     /** Answers that are kept for repeats, RFC 6733, section 3. */
     private static final int REMEMBERED = 5_000;
-    private static final int MOST_OWED = 10_000;
+    private static final int MAX_TEARDOWNS = 10_000;
     private static final long SWEEP_US = 1_000_000;
     /** us. What a refused client is told where the module gives no advice. */
     private static final long COME_BACK_US = 1_000_000;
@@ -55,7 +55,7 @@
         }
     };
     /** ASRs, by session: each goes to its own client, and waits for it for as long as the session is remembered. */
-    private final TeardownSender<Session, DiameterMessage, Connection> owed;
+    private final TeardownSender<Session, DiameterMessage, Connection> teardowns;
     private long nextOffer = 1;
     private int nextEndToEnd;
     private boolean stopping;
@@ -70,14 +70,14 @@
         this.log = log;
         this.nextEndToEnd = (int) (clock.nowUs() >> 4);
         long keptUs = config.requestUs();
-        owed = new TeardownSender<>(new RetryPolicy(keptUs, 1, keptUs, keptUs, MOST_OWED), new ToClients(), clock, timers,
-            SWEEP_US);
-        owed.start();
+        teardowns = new TeardownSender<>(new RetryPolicy(keptUs, 1, keptUs, keptUs, MAX_TEARDOWNS), new ToClients(), clock,
+            timers, SWEEP_US);
+        teardowns.start();
     }
 
     /** Sessions whose ends their clients are still to be told. */
-    int owed() {
-        return owed.counts().unsent() + owed.counts().spent();
+    int pendingTeardowns() {
+        return teardowns.counts().unsent() + teardowns.counts().spent();
     }
 
     void accept(NetSocket socket) {
@@ -118,7 +118,7 @@
         }, config.watchdogUs(), config.jitterUs(), c.peer().hashCode());
         watchdogs.put(c, watchdog);
         watchdog.up();
-        owed.found(c);
+        teardowns.found(c);
     }
 
     @Override
@@ -134,7 +134,7 @@
     @Override
     public void closed(Connection c) {
         connections.remove(c);
-        owed.lost(c);
+        teardowns.lost(c);
         Watchdog watchdog = watchdogs.remove(c);
         if (watchdog != null) {
             watchdog.down();
@@ -231,7 +231,7 @@
             throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
         }
         sessions.remove(s.id, s);
-        owed.told(s);
+        teardowns.told(s);
         on.send(m.answer(me, SUCCESS));
         if (!s.aborted) {
             core.releasedByCaller(s.call);
@@ -310,7 +310,7 @@
             DiameterMessage asr = new DiameterMessage(REQUEST | PROXIABLE, ABORT_SESSION, NASREQ, 0, nextEndToEnd++, avps);
             // The client ends the session with an STR; one that stays away has no session to come back to.
             timers.after(config.requestUs(), () -> sessions.remove(id, this));
-            owed.owe(this, asr, on);
+            teardowns.owe(this, asr, on);
         }
     }
 
@@ -336,7 +336,7 @@
             // Its answer settles it, whatever it says: a session that is not known is ended too.
             way.request(again ? asr.with(asr.flags() | RETRANSMITTED, 0, asr.avps()) : asr, asa -> {
                 if (asa != null) {
-                    owed.told(s);
+                    teardowns.told(s);
                 }
             });
         }
--- a/src/main/java/grebewick/diameter/DiameterNode.java
+++ b/src/main/java/grebewick/diameter/DiameterNode.java
@@ -94,8 +94,8 @@
     }
 
     /** Ends of sessions that are still to be told, on either side. */
-    public int owed() {
-        return front.owed() + servers.owed();
+    public int pendingTeardowns() {
+        return front.pendingTeardowns() + servers.pendingTeardowns();
     }
 
     int sessions() {
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -34,8 +34,8 @@
      * STRs wait for their peer for 10 min; without an answer on an open connection they are not repeated, but told lost
      * with it.
      */
-    private static final long OWED_US = 600_000_000;
-    private static final int MOST_OWED = 10_000;
+    private static final long TEARDOWN_US = 600_000_000;
+    private static final int MAX_TEARDOWNS = 10_000;
     private static final long SWEEP_US = 1_000_000;
 
     private final DiameterConfig config;
@@ -47,7 +47,7 @@
     private final Map<String, Upstream> peers = new TreeMap<>();
     private final Map<Long, Leg> legs = new HashMap<>();
     private final Map<String, Leg> bySession = new HashMap<>();
-    private final TeardownSender<Owed, DiameterMessage, Connection> owed;
+    private final TeardownSender<EndedSession, DiameterMessage, Connection> teardowns;
     private Gatekeeper<DiameterMessage> core;
     private int nextEndToEnd;
     private boolean stopping;
@@ -59,8 +59,8 @@
         this.timers = timers;
         this.log = log;
         this.nextEndToEnd = (int) clock.nowUs();
-        owed = new TeardownSender<>(new RetryPolicy(OWED_US, 1, OWED_US, OWED_US, MOST_OWED), new ToPeers(), clock, timers,
-            SWEEP_US);
+        teardowns = new TeardownSender<>(new RetryPolicy(TEARDOWN_US, 1, TEARDOWN_US, TEARDOWN_US, MAX_TEARDOWNS), new ToPeers(),
+            clock, timers, SWEEP_US);
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, config.settings().bounds().connectTimeoutUs() / 1000)));
     }
@@ -71,12 +71,12 @@
         config.peers().forEach(p -> peers.put(p.host(), new Upstream(p)));
         tell(Scope.PERSISTED, Map.of());
         peers.values().forEach(Upstream::connect);
-        owed.start();
+        teardowns.start();
     }
 
     /** Sessions whose ends their servers are still to be told. */
-    int owed() {
-        return owed.counts().unsent() + owed.counts().spent();
+    int pendingTeardowns() {
+        return teardowns.counts().unsent() + teardowns.counts().spent();
     }
 
     /** Takes leave of every peer. */
@@ -223,7 +223,7 @@
         avps.add(Avp.text(Avp.DESTINATION_HOST, leg.at.peer.host()));
         avps.add(Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ));
         avps.add(Avp.unsigned(Avp.TERMINATION_CAUSE, cause));
-        owed.owe(new Owed(leg.at, leg.session),
+        teardowns.owe(new EndedSession(leg.at, leg.session),
             new DiameterMessage(REQUEST | PROXIABLE, SESSION_TERMINATION, NASREQ, 0, nextEndToEnd++, avps), null);
     }
 
@@ -277,7 +277,7 @@
         public void open(Connection c) {
             draining = false;
             started(c);
-            owed.found(c);
+            teardowns.found(c);
             watchdog.up();
         }
 
@@ -288,7 +288,7 @@
             if (anew) {
                 startedAtUs = clock.nowUs();
                 legs.values().removeIf(leg -> leg.at == this && bySession.remove(leg.session, leg));
-                owed.forgetIf(o -> o.at == this);
+                teardowns.forgetIf(o -> o.at == this);
                 tell(Scope.COMPLETE, Map.of(peer.host(), startedAtUs));
             }
         }
@@ -317,7 +317,7 @@
         public void closed(Connection c) {
             watchdog.down();
             draining = true;
-            owed.lost(c);
+            teardowns.lost(c);
             tell(Scope.COMPLETE, Map.of());
             timers.after(config.reconnectUs(), this::connect);
         }
@@ -344,12 +344,12 @@
     }
 
     /** The end of one session at one server. */
-    private record Owed(Upstream at, String session) {}
+    private record EndedSession(Upstream at, String session) {}
 
     /** A session's end is told to its own server alone. */
-    private final class ToPeers implements TeardownRoutes<Owed, DiameterMessage, Connection> {
+    private final class ToPeers implements TeardownRoutes<EndedSession, DiameterMessage, Connection> {
         @Override
-        public Connection best(Owed key, Connection but) {
+        public Connection best(EndedSession key, Connection but) {
             return key.at.isOpen() && key.at.connection != but ? key.at.connection : null;
         }
 
@@ -359,11 +359,11 @@
         }
 
         @Override
-        public void write(Owed key, DiameterMessage str, Connection way, boolean again) {
+        public void write(EndedSession key, DiameterMessage str, Connection way, boolean again) {
             // Its answer settles it, whatever it says: a session that is not known is ended too.
             way.request(again ? str.with(str.flags() | RETRANSMITTED, 0, str.avps()) : str, answer -> {
                 if (answer != null) {
-                    owed.told(key);
+                    teardowns.told(key);
                 }
             });
         }
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -290,7 +290,7 @@
     }
 
     /** BYEs that are owed, and what became of those before. */
-    public TeardownCounts owed() {
+    public TeardownCounts pendingTeardowns() {
         return byes.counts();
     }
 
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -364,13 +364,13 @@
             c < STA s 2001
             p1 < STR s
             p1 closes""").until(() -> logged("p1 OKAY -> DOWN"));
-        assertThat(s.on(() -> node.owed())).isEqualTo(1);
+        assertThat(s.on(() -> node.pendingTeardowns())).isEqualTo(1);
         s.play("""
             wait 1000
             p1 < CER
             p1 > CEA
             p1 < STR s T
-            p1 > STA s""").until(() -> node.owed() == 0);
+            p1 > STA s""").until(() -> node.pendingTeardowns() == 0);
     }
 
     /** Guards clients against sessions that ended while they were away. */
@@ -391,7 +391,7 @@
             c < ASR s
             c > ASA s
             c > STR s
-            c < STA s 2001""").until(() -> node.owed() == 0);
+            c < STA s 2001""").until(() -> node.pendingTeardowns() == 0);
     }
 
     /** A peer that reads nothing: what the network has not taken of a lost client's request goes with its connection. */
