--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -75,8 +75,8 @@
         subset = new DeterministicSubset(connections - connections / 4, config.settings().familyInfo().shape().equals("pools")
             ? config.settings().familyInfo().poolsByClass() : List.of(), config.name() + "@" + config.listen(), log);
         front = new SipFront(vertx, config.settings(), config.sockets(), core, clock, timers, log);
-        trunk.onStray(front::releaseStray);
-        front.onStray(trunk::releaseStray);
+        trunk.onStray(front::releaseCallOfFormerProcess);
+        front.onCallOfFormerProcess(trunk::releaseStray);
     }
 
     /** Opens all sockets; gives the port where callers are taken. */
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -52,7 +52,7 @@
     private final CallerLines lines;
     private final TeardownSender<Long, SipMessage, CallerLine> byes;
     private final OfferReader offers;
-    private LongPredicate strays = id -> false;
+    private LongPredicate formerProcessCalls = id -> false;
     private boolean testsPass = true;
     private boolean takesCalls = true;
     private NetServer server;
@@ -91,12 +91,12 @@
     }
 
     /** Who may know a call that has no session here; says whether its release was passed on. */
-    public void onStray(LongPredicate told) {
-        strays = told;
+    public void onCallOfFormerProcess(LongPredicate told) {
+        formerProcessCalls = told;
     }
 
     /** A call that stood before this process started is over. */
-    public void releaseStray(long id, Ending ending) {
+    public void releaseCallOfFormerProcess(long id, Ending ending) {
         release(id, String.format("%016x", id), ending, null);
     }
 
@@ -273,7 +273,7 @@
 
     private void bye(CallerLine on, SipMessage m) {
         Session s = sessions.get(id(m));
-        boolean known = s == null ? strays.test(id(m)) : s.stands;
+        boolean known = s == null ? formerProcessCalls.test(id(m)) : s.stands;
         on.write(known ? m.response(200, "OK") : m.response(481, "Call/Transaction Does Not Exist"));
         if (s != null && s.stands) {
             spoke(on);
