--- /dev/null
+++ b/src/main/java/grebewick/diameter/ServerPeer.java
@@ -0,0 +1,172 @@
+package grebewick.diameter;
+
+import grebewick.core.CallControl.ServerEntry;
+import grebewick.core.CallControl.Stage;
+import grebewick.core.Clock;
+import grebewick.core.Timers;
+import io.vertx.core.net.NetClient;
+import java.util.function.Consumer;
+
+/** One authorising server, over all its connections: it is connected to again and again, and watched (RFC 3539). */
+final class ServerPeer implements Connection.Owner, Watchdog.Peer {
+    /** Who is told what happens to it. */
+    interface Listener {
+        /** A connection can be written to; the watchdog has not been told yet. */
+        void opened(ServerPeer peer, Connection on);
+
+        /** A connection has ended. */
+        void closed(ServerPeer peer, Connection on);
+
+        /** It has lost its sessions. */
+        void restarted(ServerPeer peer);
+
+        /** Whether it takes new sessions may have changed. */
+        void changed(ServerPeer peer);
+
+        /** It asks to end a session (ASR). */
+        void aborts(ServerPeer peer, Connection on, DiameterMessage request);
+    }
+
+    private final DiameterConfig.Peer peer;
+    private final DiameterConfig config;
+    private final Identity me;
+    private final NetClient client;
+    private final Clock clock;
+    private final Timers timers;
+    private final Listener listener;
+    private final Consumer<String> log;
+    private final Watchdog watchdog;
+    private Connection connection;
+    private boolean draining;
+    private boolean stopping;
+    private long startedAtUs;
+    /** Its largest Origin-State-Id so far; 0: it has told none. */
+    private long stateId;
+
+    ServerPeer(DiameterConfig.Peer peer, DiameterConfig config, Identity me, NetClient client, Clock clock, Timers timers,
+               Listener listener, Consumer<String> log) {
+        this.peer = peer;
+        this.config = config;
+        this.me = me;
+        this.client = client;
+        this.clock = clock;
+        this.timers = timers;
+        this.listener = listener;
+        this.log = log;
+        watchdog = new Watchdog(timers, this, config.watchdogUs(), config.jitterUs(), peer.host().hashCode());
+    }
+
+    String host() {
+        return peer.host();
+    }
+
+    /** The latest; null before the first. */
+    Connection connection() {
+        return connection;
+    }
+
+    boolean isOpen() {
+        return connection != null && connection.isOpen();
+    }
+
+    /** us. When it last started anew, as far as was seen; 0: not since this process started. */
+    long startedAtUs() {
+        return startedAtUs;
+    }
+
+    /** What the list says of it. */
+    ServerEntry entry() {
+        boolean ready = watchdog.state() == Watchdog.State.OKAY && !draining;
+        return new ServerEntry(peer.host(), peer.group(), ready ? Stage.HEALTHY : Stage.DRAINING, startedAtUs, "", peer.zone(),
+            1);
+    }
+
+    /** Opens a connection, and others after it. */
+    void connect() {
+        if (stopping) {
+            return;
+        }
+        client.connect(peer.address().socket())
+            .onSuccess(socket -> connection = new Connection(socket, me, true, timers, config.watchdogUs(), this, log))
+            .onFailure(e -> timers.after(config.reconnectUs(), this::connect));
+    }
+
+    /** Takes leave of it; it is not connected to again. */
+    void stop() {
+        stopping = true;
+        if (isOpen()) {
+            connection.disconnect();
+        }
+    }
+
+    @Override
+    public boolean admits(String asked) {
+        return asked.equals(peer.host());
+    }
+
+    @Override
+    public void open(Connection c) {
+        draining = false;
+        noteStateId(c);
+        listener.opened(this, c);
+        watchdog.up();
+    }
+
+    /** A larger Origin-State-Id says that the peer has lost its sessions. */
+    private void noteStateId(Connection c) {
+        boolean anew = stateId != 0 && c.stateId() > stateId;
+        stateId = Math.max(stateId, c.stateId());
+        if (anew) {
+            startedAtUs = clock.nowUs();
+            listener.restarted(this);
+        }
+    }
+
+    @Override
+    public void request(Connection c, DiameterMessage m) {
+        if (m.command() != DiameterMessage.ABORT_SESSION) {
+            throw new DiameterException(DiameterException.COMMAND_UNSUPPORTED, "command " + m.command(), null);
+        }
+        listener.aborts(this, c, m);
+    }
+
+    @Override
+    public void draining(Connection c) {
+        draining = true;
+        listener.changed(this);
+    }
+
+    @Override
+    public void heard(Connection c, DiameterMessage m) {
+        watchdog.heard(!m.isRequest() && m.command() == DiameterMessage.DEVICE_WATCHDOG);
+        noteStateId(c);
+    }
+
+    @Override
+    public void closed(Connection c) {
+        watchdog.down();
+        draining = true;
+        listener.closed(this, c);
+        timers.after(config.reconnectUs(), this::connect);
+    }
+
+    @Override
+    public void sendWatchdog() {
+        connection.sendWatchdog();
+    }
+
+    @Override
+    public void closeConnection() {
+        connection.close("its watchdog is lost");
+    }
+
+    @Override
+    public void changed(Watchdog.State from, Watchdog.State to) {
+        log.accept("diameter: " + peer.host() + " " + from + " -> " + to);
+        if (from == Watchdog.State.REOPEN && to == Watchdog.State.OKAY) {
+            // What was away may have started anew: it is cold.
+            startedAtUs = clock.nowUs();
+        }
+        listener.changed(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/grebewick/diameter/ServerSessions.java
@@ -0,0 +1,42 @@
+package grebewick.diameter;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The sessions at all servers, by the core's number of the call and by Session-Id. */
+final class ServerSessions {
+    private final Map<Long, ServerSession> byCall = new HashMap<>();
+    private final Map<String, ServerSession> byId = new HashMap<>();
+
+    /** Takes a session; it takes the place of an earlier one of the same call. */
+    void add(ServerSession session) {
+        byCall.put(session.call, session);
+        byId.put(session.id, session);
+    }
+
+    /** Null where there is none. */
+    ServerSession ofCall(long call) {
+        return byCall.get(call);
+    }
+
+    /** Null where there is none. */
+    ServerSession ofId(String id) {
+        return byId.get(id);
+    }
+
+    /** Whether that session is the one of its call. */
+    boolean holds(ServerSession session) {
+        return byCall.get(session.call) == session;
+    }
+
+    /** Forgets a session; false: it was not the one of its call any more. */
+    boolean remove(ServerSession session) {
+        byId.remove(session.id, session);
+        return byCall.remove(session.call, session);
+    }
+
+    /** Forgets all that are at one server and under their Session-Id. */
+    void removeAllAt(ServerPeer server) {
+        byCall.values().removeIf(session -> session.at == server && byId.remove(session.id, session));
+    }
+}
--- /dev/null
+++ b/src/main/java/grebewick/diameter/SessionTeardowns.java
@@ -0,0 +1,107 @@
+package grebewick.diameter;
+
+import static grebewick.diameter.DiameterMessage.*;
+
+import grebewick.core.Clock;
+import grebewick.core.Timers;
+import grebewick.teardown.RetryPolicy;
+import grebewick.teardown.TeardownRoutes;
+import grebewick.teardown.TeardownSender;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Ends of sessions that servers are to be told, each its own server alone, by STR (RFC 6733, section 8.4.1). */
+final class SessionTeardowns {
+    /** Why a session ends: values of Termination-Cause (RFC 6733, section 8.15). */
+    enum Cause {
+        LOGOUT(1), ADMINISTRATIVE(4);
+
+        private final int code;
+
+        Cause(int code) {
+            this.code = code;
+        }
+    }
+
+    /**
+     * STRs wait for their peer for 10 min; without an answer on an open connection they are not repeated, but told lost
+     * with it.
+     */
+    private static final long WAIT_US = 600_000_000;
+    private static final int MAX_TEARDOWNS = 10_000;
+    private static final RetryPolicy POLICY = new RetryPolicy(WAIT_US, 1, WAIT_US, WAIT_US, MAX_TEARDOWNS);
+    private static final long SWEEP_US = 1_000_000;
+
+    private final Identity me;
+    private final TeardownSender<EndedSession, DiameterMessage, Connection> teardowns;
+    private int nextEndToEnd;
+
+    SessionTeardowns(Identity me, Clock clock, Timers timers) {
+        this.me = me;
+        nextEndToEnd = (int) clock.nowUs();
+        teardowns = new TeardownSender<>(POLICY, new ToPeers(), clock, timers, SWEEP_US);
+    }
+
+    void start() {
+        teardowns.start();
+    }
+
+    /** Sessions whose ends their servers are still to be told. */
+    int pending() {
+        return teardowns.counts().unsent() + teardowns.counts().spent();
+    }
+
+    /** Ends a session at its server, now or once the server is back. */
+    void terminate(ServerSession session, Cause cause) {
+        List<Avp> avps = new ArrayList<>();
+        avps.add(Avp.text(Avp.SESSION_ID, session.id));
+        avps.addAll(me.origin());
+        avps.add(Avp.text(Avp.DESTINATION_REALM, me.realm()));
+        avps.add(Avp.text(Avp.DESTINATION_HOST, session.at.host()));
+        avps.add(Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ));
+        avps.add(Avp.unsigned(Avp.TERMINATION_CAUSE, cause.code));
+        teardowns.owe(new EndedSession(session.at, session.id),
+            new DiameterMessage(REQUEST | PROXIABLE, SESSION_TERMINATION, NASREQ, 0, nextEndToEnd++, avps), null);
+    }
+
+    /** A connection to a server can be written to. */
+    void opened(Connection on) {
+        teardowns.found(on);
+    }
+
+    /** A connection to a server has ended. */
+    void lost(Connection on) {
+        teardowns.lost(on);
+    }
+
+    /** A server has lost its sessions: there is nothing left to end. */
+    void forgetAllAt(ServerPeer server) {
+        teardowns.forgetIf(ended -> ended.at == server);
+    }
+
+    /** The end of one session at one server. */
+    private record EndedSession(ServerPeer at, String id) {}
+
+    /** A session's end is told to its own server alone. */
+    private final class ToPeers implements TeardownRoutes<EndedSession, DiameterMessage, Connection> {
+        @Override
+        public Connection best(EndedSession key, Connection but) {
+            return key.at.isOpen() && key.at.connection() != but ? key.at.connection() : null;
+        }
+
+        @Override
+        public int rank(Connection way) {
+            return way.isOpen() ? 0 : -1;
+        }
+
+        @Override
+        public void write(EndedSession key, DiameterMessage str, Connection way, boolean again) {
+            // Its answer settles it, whatever it says: a session that is not known is ended too.
+            way.request(again ? str.with(str.flags() | RETRANSMITTED, 0, str.avps()) : str, answer -> {
+                if (answer != null) {
+                    teardowns.told(key);
+                }
+            });
+        }
+    }
+}
