Split SipFront: sockets, requests, sessions, teardowns

CallerLine.open is typed. LimitedLog takes the place of a counter of complaints. No decision changed; existing tests are untouched.

--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -23,7 +23,7 @@
     final SipCodec codec = new SipCodec();
     final long sinceUs;
     /** Set-ups that wait for their answer. */
-    final Set<Object> open = new LinkedHashSet<>();
+    final Set<CallerSession> open = new LinkedHashSet<>();
     /** Calls that were set up on it and stand: their caller keeps it to be told of their ends. */
     int standing;
     /** When a whole message last came. */
--- /dev/null
+++ b/src/main/java/grebewick/sip/CallerRequests.java
@@ -0,0 +1,173 @@
+package grebewick.sip;
+
+import grebewick.core.CallControl.Settings;
+import grebewick.core.Clock;
+import grebewick.core.Gatekeeper;
+import grebewick.core.LimitedLog;
+import grebewick.core.Offer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongPredicate;
+
+/** What callers ask for, by method: set-ups are offered to the core, cancelled and released. */
+final class CallerRequests implements CallerListener.Receiver {
+    /** Open set-ups on a connection on which a call has stood, and on any other. */
+    private static final int MOST_OPEN = 128;
+    private static final int MOST_OPEN_UNPROVEN = 16;
+    /** Useless requests in a row after which a connection is closed: bad ones, failed ones, ones just withdrawn. */
+    private static final int MOST_USELESS = 8;
+
+    private final Gatekeeper<byte[]> core;
+    private final CallerTeardowns teardowns;
+    private final Clock clock;
+    private final LimitedLog complaints;
+    private final OfferReader offers;
+    private final Map<Long, CallerSession> sessions = new HashMap<>();
+    private LongPredicate formerProcessCalls = id -> false;
+    private boolean testsPass = true;
+    private boolean takesCalls = true;
+
+    CallerRequests(Settings set, Gatekeeper<byte[]> core, CallerTeardowns teardowns, Clock clock, LimitedLog complaints) {
+        this.core = core;
+        this.teardowns = teardowns;
+        this.clock = clock;
+        this.complaints = complaints;
+        offers = new OfferReader(set);
+    }
+
+    /** Who may know a call that has no session here; says whether its release was passed on. */
+    void onCallOfFormerProcess(LongPredicate told) {
+        formerProcessCalls = told;
+    }
+
+    /** From now on tests fail, so that callers go elsewhere; calls are still taken. */
+    void failTests() {
+        testsPass = false;
+    }
+
+    /** From now on calls are refused. */
+    void refuseCalls() {
+        takesCalls = false;
+    }
+
+    /** Guards the set-ups before it on the same connection: with it they would be lost without an answer. */
+    @Override
+    public void unreadable(CallerLine line) {
+        List.copyOf(line.open).forEach(each -> core.answer(each.call));
+    }
+
+    @Override
+    public void closed(CallerLine line) {
+        for (CallerSession s : List.copyOf(line.open)) {
+            s.answered = true;
+            sessions.remove(s.id, s);
+            core.hangup(s.call);
+        }
+        line.open.clear();
+        teardowns.lost(line);
+    }
+
+    @Override
+    public void message(CallerLine on, SipMessage m) {
+        if (!m.isRequest()) {
+            if (m.method().equals("BYE")) {
+                teardowns.answered(on, m);
+            }
+            return;
+        }
+        switch (m.method()) {
+            case "INVITE" -> invite(on, m);
+            case "CANCEL" -> cancel(on, m);
+            case "BYE" -> bye(on, m);
+            case "OPTIONS" -> {
+                spoke(on);
+                on.write(testsPass ? m.response(200, "OK") : m.response(503, "Service Unavailable"));
+            }
+            case "ACK", "NOTIFY" -> {}
+            default -> useless(on, m, 501, "Not Implemented");
+        }
+    }
+
+    /** It has said something of use: what is owed may go there, and goes there from who is less likely a caller. */
+    private void spoke(CallerLine on) {
+        if (!on.spoke) {
+            on.spoke = true;
+            teardowns.found(on);
+        }
+    }
+
+    private void useless(CallerLine on, SipMessage m, int status, String phrase) {
+        on.write(m.response(status, phrase));
+        useless(on);
+    }
+
+    /** Who sends nothing of use is closed: at full speed that takes the core, and the servers' time. */
+    private void useless(CallerLine on) {
+        if (++on.useless >= MOST_USELESS && on.open.isEmpty() && on.standing == 0) {
+            complaints.complain("closed a connection that sent nothing of use");
+            on.close();
+        }
+    }
+
+    private void invite(CallerLine on, SipMessage m) {
+        long id = m.callNumber();
+        Offer<byte[]> offer;
+        try {
+            offer = offers.read(id, m);
+        } catch (IllegalArgumentException e) {
+            useless(on, m, 400, "Bad Request");
+            return;
+        }
+        CallerSession known = sessions.get(id);
+        if (known != null) {
+            // A repeat of the same is no second request; another under its id must not take the first one's place.
+            if (!known.isRepeat(on, m)) {
+                useless(on, m, 482, "Loop Detected");
+            }
+            return;
+        }
+        // What is over goes before what is new.
+        teardowns.first();
+        spoke(on);
+        if (!on.asked) {
+            on.asked = true;
+            teardowns.found(on);
+        }
+        CallerSession session = new CallerSession(id, on, m, offer.leftUs(), clock, sessions, teardowns, this::useless);
+        on.open.add(session);
+        // Guards the servers against one connection's flood; a usual caller's connection has a few open.
+        if (!takesCalls || on.open.size() > (on.proven ? MOST_OPEN : MOST_OPEN_UNPROVEN)) {
+            session.refused(0, 0);
+            return;
+        }
+        sessions.put(id, session);
+        session.call = core.offer(offer, session);
+    }
+
+    private void cancel(CallerLine on, SipMessage m) {
+        CallerSession s = sessions.get(m.callNumber());
+        // Only where the set-up came from: elsewhere it is a stranger's.
+        boolean known = s != null && s.on == on;
+        on.write(known ? m.response(200, "OK") : m.response(481, "Call/Transaction Does Not Exist"));
+        if (known && !s.answered) {
+            s.answer(487, "Request Terminated");
+            core.hangup(s.call);
+            if (s.isEarly()) {
+                useless(on);
+            }
+        }
+    }
+
+    private void bye(CallerLine on, SipMessage m) {
+        CallerSession s = sessions.get(m.callNumber());
+        boolean known = s == null ? formerProcessCalls.test(m.callNumber()) : s.stands;
+        on.write(known ? m.response(200, "OK") : m.response(481, "Call/Transaction Does Not Exist"));
+        if (s != null && s.stands) {
+            spoke(on);
+            sessions.remove(s.id, s);
+            s.on.standing--;
+            core.releasedByCaller(s.call);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/grebewick/sip/CallerSession.java
@@ -0,0 +1,106 @@
+package grebewick.sip;
+
+import grebewick.core.Callers;
+import grebewick.core.Clock;
+import grebewick.core.Ending;
+import grebewick.sip.SipMessage.Header;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** One call on the callers' side, from its INVITE to its BYE. */
+final class CallerSession implements Callers<byte[]> {
+    /** s. What a refused caller is told where the module gives no advice. */
+    private static final long COME_BACK_S = 1;
+    private static final long US_PER_S = 1_000_000;
+
+    /** Its Call-ID as a number. */
+    final long id;
+    /** The connection that its INVITE came on. */
+    final CallerLine on;
+    /** The core's number of it. */
+    long call;
+    boolean answered;
+    boolean stands;
+    private final SipMessage invite;
+    private final long sinceUs;
+    private final long waitUs;
+    private final Clock clock;
+    private final Map<Long, CallerSession> sessions;
+    private final CallerTeardowns teardowns;
+    private final Consumer<CallerLine> useless;
+
+    /**
+     * A session that is not answered yet.
+     *
+     * @param waitUs for how long its caller waits
+     * @param sessions all of the front, by id; it takes itself out once it is over
+     * @param useless is told of a set-up that was of no use to anybody
+     */
+    CallerSession(long id, CallerLine on, SipMessage invite, long waitUs, Clock clock, Map<Long, CallerSession> sessions,
+                  CallerTeardowns teardowns, Consumer<CallerLine> useless) {
+        this.id = id;
+        this.on = on;
+        this.invite = invite;
+        this.waitUs = waitUs;
+        this.clock = clock;
+        this.sessions = sessions;
+        this.teardowns = teardowns;
+        this.useless = useless;
+        sinceUs = clock.nowUs();
+    }
+
+    /** Whether a request is the one that began it, come again. */
+    boolean isRepeat(CallerLine line, SipMessage request) {
+        return on == line && Arrays.equals(invite.body(), request.body());
+    }
+
+    /** Whether less than half of the caller's wait is over. */
+    boolean isEarly() {
+        return clock.nowUs() - sinceUs < waitUs / 2;
+    }
+
+    /** The one place where an INVITE gets a final answer that is not 200. */
+    void answer(int status, String phrase, Header... more) {
+        answered = true;
+        on.open.remove(this);
+        sessions.remove(id, this);
+        on.write(invite.response(status, phrase, more));
+    }
+
+    @Override
+    public void stands(long number, byte[] description) {
+        answered = true;
+        stands = true;
+        on.standing++;
+        on.open.remove(this);
+        on.useless = 0;
+        on.write(invite.response(200, "OK", description));
+        if (!on.proven) {
+            on.proven = true;
+            teardowns.found(on);
+        }
+    }
+
+    @Override
+    public void refused(long number, long comeBackUs) {
+        long seconds = comeBackUs > 0 ? (comeBackUs + US_PER_S - 1) / US_PER_S : COME_BACK_S;
+        answer(503, "Service Unavailable", new Header("Retry-After", Long.toString(seconds)));
+    }
+
+    @Override
+    public void failed(long number) {
+        answer(500, "Server Internal Error");
+        // Not one that ran out of time.
+        if (!on.proven && isEarly()) {
+            useless.accept(on);
+        }
+    }
+
+    @Override
+    public void released(long number, Ending ending) {
+        on.standing--;
+        sessions.remove(id, this);
+        teardowns.release(id, invite.callId(), ending, on);
+    }
+}
--- a/src/main/java/grebewick/sip/SipMessage.java
+++ b/src/main/java/grebewick/sip/SipMessage.java
@@ -6,6 +6,7 @@
 /** A SIP request ({@code status} 0) or response (then {@code method} is that of its CSeq). */
 public record SipMessage(String method, String uri, int status, String reason, List<Header> headers, byte[] body) {
     private static final byte[] NONE = {};
+    private static final int CALL_ID_DIGITS = 16;
     private static final List<String> COPIED = List.of("Via", "From", "To", "Call-ID", "CSeq");
 
     /** One header line; names compare without regard to case. */
@@ -30,6 +31,24 @@
         return value == null ? absent : value;
     }
 
+    /** Its Call-ID, in full or compact form; empty where it has none. */
+    String callId() {
+        return header("Call-ID", header("i", ""));
+    }
+
+    /**
+     * The number that its Call-ID is.
+     *
+     * @throws IllegalArgumentException if it is none of 16 hex digits
+     */
+    long callNumber() {
+        String text = callId();
+        if (text.length() != CALL_ID_DIGITS) {
+            throw new IllegalArgumentException("a Call-ID that is not 16 hex digits");
+        }
+        return Long.parseUnsignedLong(text, 16);
+    }
+
     /** A response to this request: what RFC 3261 wants copied is copied. */
     public SipMessage response(int code, String phrase, byte[] content, Header... more) {
         List<Header> copied = new ArrayList<>();
