--- a/src/test/java/grebewick/ProcessTest.java
+++ b/src/test/java/grebewick/ProcessTest.java
@@ -112,15 +112,20 @@
         assertThat(lines).noneMatch(line -> line.contains("xception"));
     }
 
-    /** What is off costs nothing: not a class of it is loaded. */
-    @Test
-    void withoutItsFileTheListsTransferIsNotLoaded() throws Exception {
+    /** The JVM's lines on the classes that a start and an end load, where only the platform is on. */
+    private List<String> classesLoaded() throws Exception {
         Path loaded = folder.resolve("loaded.txt");
         start(List.of("-Xlog:class+load:file=" + loaded), Map.of());
         line("n0 serves at ");
         signal("TERM");
         assertThat(ended()).isEqualTo(TERMINATED);
-        List<String> ours = Files.readAllLines(loaded).stream().filter(line -> line.contains(" grebewick.")).toList();
+        return Files.readAllLines(loaded);
+    }
+
+    /** What is off costs nothing: not a class of it is loaded. */
+    @Test
+    void withoutItsFileTheListsTransferIsNotLoaded() throws Exception {
+        List<String> ours = classesLoaded().stream().filter(line -> line.contains(" grebewick.")).toList();
         assertThat(ours).anyMatch(line -> line.contains("grebewick.discovery.dns.ServerListPoller"))
             .noneMatch(line -> line.contains("grebewick.discovery.transfer."));
     }
@@ -156,12 +161,7 @@
     /** Guards the time and memory of a start: what is off is not even loaded, but for the type of its configuration. */
     @Test
     void whatIsOffIsNotLoadedAtTheStart() throws Exception {
-        Path loaded = folder.resolve("loaded");
-        start(List.of("-Xlog:class+load:file=" + loaded), Map.of());
-        line("serves at");
-        signal("TERM");
-        assertThat(ended()).isEqualTo(TERMINATED);
-        List<String> classes = Files.readAllLines(loaded).stream().filter(line -> !line.contains(".DiameterConfig ")).toList();
+        List<String> classes = classesLoaded().stream().filter(line -> !line.contains(".DiameterConfig ")).toList();
         String off = ".* grebewick\\.(acme|benchlink|diameter|discovery\\.(?!dns\\.)[a-z]+|lab|web)\\..*";
         assertThat(classes).anyMatch(line -> line.contains(" grebewick.Node ")).noneMatch(line -> line.matches(off));
     }
