Tests: causes of failures that depend on the moment, found by reading

Each test asks for as much as before. - Scenario: a party that listens again at its port tries until the loop's next select has let the closed socket's descriptor go (bounded by the 20 s of await); a party's connection is looked at and written to in one step of the loop, as it may be gone in the next. - NodeTest, set-up whose bytes are stuck: the connection was filled in many turns and looked at in another, in between the network may take what was stuck; then nothing is taken back, and the read to the end waits for ever. Now in one turn, on a connection that is known to be up, with deadlines, as in LeftCallersTest. - DnsTransferClientTest: a port that is free for TCP may be another process's for datagrams; others are tried. - DiameterTlsTest: the port for challenges was closed before the authority was given one, which may be the same. - ProcessTest: four kills were four processes, whose start counts against the 3.7 s that the end has; they are one now. - Lists that the loop adds to are read on the loop.

--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -9,7 +9,6 @@
 import grebewick.core.CallControl.Settings;
 import grebewick.core.CallControl.Stage;
 import grebewick.core.Gatekeeper;
-import grebewick.core.Offer;
 import grebewick.play.Scenario;
 import grebewick.play.Sites;
 import grebewick.sip.SipDialect;
@@ -182,12 +181,12 @@
     void whileItsBytesWereStuckInAConnection() throws IOException {
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             Trunk trunk = trunk(server);
-            try (Socket first = accepted(server)) {
+            try (Socket first = StuckConnection.accepted(server)) {
                 int sent = s.on(() -> {
-                    int last = fill(trunk);
+                    int last = StuckConnection.fill(trunk);
                     long before = trunk.unwritten();
                     // One more waits for the connection to take something again, and is not in it.
-                    setUp(trunk, last + 1);
+                    StuckConnection.setUp(trunk, last + 1);
                     assertThat(trunk.unwritten()).isEqualTo(before);
                     giveUp(trunk, last + 1);
                     assertThat(trunk.unwritten()).as("nothing is lost for it").isEqualTo(before);
@@ -195,7 +194,8 @@
                     assertThat(trunk.unwritten()).isZero();
                     return last;
                 });
-                assertThat(log).anyMatch(line -> line.contains("did not take a set-up that was given up since"));
+                assertThat(s.on(() -> List.copyOf(log)))
+                    .anyMatch(line -> line.contains("did not take a set-up that was given up since"));
                 byte[] got = first.getInputStream().readAllBytes();
                 int size = 2 + (got[0] & 0xff) * 256 + (got[1] & 0xff);
                 assertThat(got.length / size).as(got.length + " of " + size).isPositive().isLessThan(sent);
@@ -208,11 +208,11 @@
     void whatWaitedForAStuckConnectionLeavesLater() throws IOException {
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             Trunk trunk = trunk(server);
-            try (Socket first = accepted(server)) {
+            try (Socket first = StuckConnection.accepted(server)) {
                 int sent = s.on(() -> {
-                    int last = fill(trunk);
+                    int last = StuckConnection.fill(trunk);
                     long before = trunk.unwritten();
-                    setUp(trunk, last + 1);
+                    StuckConnection.setUp(trunk, last + 1);
                     assertThat(trunk.unwritten()).isEqualTo(before).isPositive();
                     return last;
                 });
@@ -222,8 +222,7 @@
         }
     }
 
-    private Trunk trunk(ServerSocket server) throws IOException {
-        server.setSoTimeout(20_000);
+    private Trunk trunk(ServerSocket server) {
         Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, new Random(1), s.clock, s.clock, log::add));
         s.on(() -> {
             trunk.attach(new Gatekeeper<>(Sites.settings(), (now, event, out) -> {}, s.clock, s.clock, trunk,
@@ -233,33 +232,6 @@
         return trunk;
     }
 
-    /** The next connection, once its other end is known to have seen it come up: a test on it has been answered. */
-    private static Socket accepted(ServerSocket server) throws IOException {
-        TrunkDialect dialect = new TrunkDialect();
-        Socket socket = server.accept();
-        socket.setSoTimeout(20_000);
-        socket.getOutputStream().write(dialect.encode(dialect.ping()[0]).getBytes());
-        int size = socket.getInputStream().read() * 256 + socket.getInputStream().read();
-        assertThat(socket.getInputStream().readNBytes(size)).hasSize(size);
-        return socket;
-    }
-
-    /** Set-ups until the connection is stuck; gives their number. In one turn of the loop: what is stuck stays so in it. */
-    private static int fill(Trunk trunk) {
-        for (int sent = 1; sent <= 4_096; sent++) {
-            setUp(trunk, sent);
-            if (trunk.unwritten() > 0) {
-                return sent;
-            }
-        }
-        throw new AssertionError("the connection never gets stuck");
-    }
-
-    private static Void setUp(Trunk trunk, int call) {
-        trunk.setUp(call, 0, "s3", new Offer<>(call, "a", "55", 9_000_000, false, false, 1, 0, -1, new byte[15_000]), 9_000_000);
-        return null;
-    }
-
     private static Void giveUp(Trunk trunk, int call) {
         trunk.giveUp(call, 0, "s3");
         return null;
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -9,7 +9,6 @@
 import grebewick.core.CallControl.Settings;
 import grebewick.core.CallControl.Stage;
 import grebewick.core.Gatekeeper;
-import grebewick.core.Offer;
 import grebewick.play.Scenario;
 import grebewick.play.Sites;
 import grebewick.sip.SipDialect;
@@ -214,20 +213,16 @@
                     (peer, bytes) -> {}, log::add));
                 return trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.HEALTHY, 0)));
             });
-            try (Socket first = server.accept()) {
-                int[] sent = {0};
-                s.until(() -> {
-                    trunk.setUp(++sent[0], 0, "s3", new Offer<>(sent[0], "a", "55", 9_000_000, false, false, 1, 0, -1,
-                        new byte[15_000]), 9_000_000);
-                    return trunk.unwritten() > 0;
-                });
-                s.on(() -> {
+            try (Socket first = StuckConnection.accepted(server)) {
+                int sent = s.on(() -> {
+                    int last = StuckConnection.fill(trunk);
                     trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.DRAINING, 0)));
                     trunk.recall();
-                    return null;
+                    assertThat(trunk.unwritten()).isZero();
+                    return last;
                 });
-                assertThat(s.on(trunk::unwritten)).isZero();
-                assertThat(first.getInputStream().readAllBytes().length / 15_000).isPositive().isLessThan(sent[0]);
+                int whole = first.getInputStream().readAllBytes().length / StuckConnection.DESCRIPTION;
+                assertThat(whole).isPositive().isLessThan(sent);
             }
         }
     }
@@ -246,7 +241,7 @@
             return null;
         });
         s.play("many reached 36");
-        assertThat(s.on(() -> log)).contains("servers: 36 of 1024 are in use, as the descriptors bear no more");
+        assertThat(s.on(() -> List.copyOf(log))).contains("servers: 36 of 1024 are in use, as the descriptors bear no more");
         s.play("e > INVITE 01\n many < set-up 01*\n many > answer 01 desc\n e < 200 INVITE 01 desc\n e > BYE 01");
         s.play("e < 200 BYE 01\n many < release 01 16");
         assertThat(s.on(() -> wide.calls())).isZero();
@@ -295,7 +290,7 @@
             d > INVITE 01 deadline=x
             d < 400 INVITE 01
             d has no more""");
-        assertThat(log).anyMatch(line -> line.startsWith("sip: closed"));
+        assertThat(s.on(() -> List.copyOf(log))).anyMatch(line -> line.startsWith("sip: closed"));
     }
 
     @Test
--- a/src/test/java/grebewick/ProcessTest.java
+++ b/src/test/java/grebewick/ProcessTest.java
@@ -16,6 +16,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -62,10 +64,10 @@
         s.close();
     }
 
+    /** Sends signals one after the other, by one process: the time that the end has counts from the first TERM on. */
     private void signal(String... names) throws Exception {
-        for (String name : names) {
-            assertThat(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor()).isZero();
-        }
+        String kills = Stream.of(names).map(name -> "kill -" + name + " " + process.pid()).collect(Collectors.joining(" && "));
+        assertThat(new ProcessBuilder("sh", "-c", kills).start().waitFor()).isZero();
     }
 
     /** The first line with that text; all before it are kept as well. */
--- a/src/test/java/grebewick/diameter/DiameterTlsTest.java
+++ b/src/test/java/grebewick/diameter/DiameterTlsTest.java
@@ -20,13 +20,12 @@
 
     @Test
     void theFrontServesOverTlsWithACertificateByAcme() throws Exception {
-        int challenges;
-        try (ServerSocket free = new ServerSocket(0)) {
-            challenges = free.getLocalPort();
-        }
-        try (Scenario s = new Scenario()) {
+        try (Scenario s = new Scenario(); ServerSocket free = new ServerSocket(0)) {
+            int challenges = free.getLocalPort();
             Instant now = Instant.ofEpochMilli(s.clock.nowUs() / 1000);
             String directory = s.await(() -> new StandInAuthority(s.vertx, now, challenges).listen());
+            // Not before: the authority could have been given the same port.
+            free.close();
             DiameterConfig config = new DiameterConfig(new Address("127.0.0.1", 0), "gk", "realm", Set.of(), "a", 9_000_000,
                 10_000_000, 0, 1_000_000, List.of(), Sites.settings(), new AcmeConfig(directory, "gk.example",
                     new Address("127.0.0.1", challenges), folder, true));
--- a/src/test/java/grebewick/discovery/transfer/DnsTransferClientTest.java
+++ b/src/test/java/grebewick/discovery/transfer/DnsTransferClientTest.java
@@ -25,6 +25,7 @@
 class DnsTransferClientTest {
     private static final String ZONE = "s12.east.fleet.local.";
     private static final long SEED = 12;
+    private static final int PORT_TRIES = 20;
 
     private final Scenario s = new Scenario();
     private final SimPrimary primary = new SimPrimary();
@@ -66,13 +67,19 @@
         s.close();
     }
 
+    /** At a port that is free for both: one that is free for TCP may be another process's for datagrams. */
     private Address listen() {
-        NetServer tcp = s.on(() -> s.vertx.createNetServer().connectHandler(this::serve));
-        int port = s.await(() -> tcp.listen(0, "127.0.0.1")).actualPort();
-        udp = s.on(() -> s.vertx.createDatagramSocket());
-        udp.handler(this::answer);
-        s.await(() -> udp.listen(port, "127.0.0.1"));
-        return new Address("127.0.0.1", port);
+        for (int i = 0; i < PORT_TRIES; i++) {
+            NetServer tcp = s.on(() -> s.vertx.createNetServer().connectHandler(this::serve));
+            int port = s.await(() -> tcp.listen(0, "127.0.0.1")).actualPort();
+            udp = s.on(() -> s.vertx.createDatagramSocket());
+            udp.handler(this::answer);
+            if (s.await(() -> udp.listen(port, "127.0.0.1").map(true).otherwise(false))) {
+                return new Address("127.0.0.1", port);
+            }
+            s.await(tcp::close);
+        }
+        throw new AssertionError("no port is free for both");
     }
 
     private static TransferRequest decode(byte[] query) {
@@ -152,7 +159,8 @@
         drain("s-3");
         until(this::isCurrent);
         assertThat(s.on(() -> transfers)).isEqualTo(1);
-        assertThat(published.get(published.size() - 1)).filteredOn(e -> e.entry().stage() == Stage.DRAINING).hasSize(1);
+        assertThat(s.on(() -> published.get(published.size() - 1))).filteredOn(e -> e.entry().stage() == Stage.DRAINING)
+            .hasSize(1);
         s.on(() -> {
             for (int i = 0; i < 40; i++) {
                 primary.drain(ZONE, "s-" + i);
@@ -203,7 +211,7 @@
         assertThat(s.on(this::isCurrent)).isFalse();
         spoilDatagram = message -> message;
         until(this::isCurrent);
-        assertThat(log).anyMatch(line -> line.contains("truncated record"));
+        assertThat(s.on(() -> List.copyOf(log))).anyMatch(line -> line.contains("truncated record"));
     }
 
     @Test
@@ -242,7 +250,7 @@
         s.await(() -> client.socket.close());
         drain("s-4");
         until(this::isCurrent);
-        assertThat(log).anyMatch(line -> line.contains("could not be sent"));
+        assertThat(s.on(() -> List.copyOf(log))).anyMatch(line -> line.contains("could not be sent"));
     }
 
     @Test
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -4,6 +4,7 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
@@ -179,10 +180,19 @@
         }
 
         void listen() {
-            server = await(() -> vertx.createNetServer().connectHandler(this::attach).listen(port, "127.0.0.1"));
+            server = await(this::listening);
             port = server.actualPort();
         }
 
+        /** The descriptor of a socket that was closed goes with the loop's next select: until then its port is taken. */
+        private Future<NetServer> listening() {
+            return vertx.createNetServer().connectHandler(this::attach).listen(port, "127.0.0.1").recover(taken -> {
+                Promise<NetServer> again = Promise.promise();
+                loop.runOnContext(v -> listening().onComplete(again));
+                return again.future();
+            });
+        }
+
         void stop() {
             // Takes the connections along.
             await(() -> server.close());
@@ -211,9 +221,15 @@
             if (server == null && socket == null) {
                 connect();
             }
-            until(() -> socket != null);
             Buffer bytes = dialect.encode(text);
-            on(() -> socket.write(bytes));
+            // In one step: the connection that is there may be gone in the next.
+            until(() -> {
+                if (socket == null) {
+                    return false;
+                }
+                socket.write(bytes);
+                return true;
+            });
         }
 
         void connect() {
