Hollow fleet: a zone for each service and region, with a primary of each region

The plan for two years has 280 services in 2 regions, 560 zones of 6.8 servers; the tool measured 280 zones of one region.

--- a/src/main/java/grebewick/lab/fleet/ControlMachine.java
+++ b/src/main/java/grebewick/lab/fleet/ControlMachine.java
@@ -16,16 +16,16 @@
 import grebewick.lab.measure.Traffic;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 
 /**
  * One name server of a region with an event loop of its own: the primary, which is told its zones, or a replica, which follows
- * the primary with the gatekeepers' own client.
+ * the primaries with the gatekeepers' own client.
  */
 final class ControlMachine {
-    private static final String REGION = "east";
     private static final String LOOPBACK = "127.0.0.1";
     private static final HistoryLimits HISTORY = new HistoryLimits(4_096, 65_536);
     private static final long POLL_US = 1_000_000;
@@ -47,7 +47,7 @@
     };
     private final ReplicaState state;
     private final ReplicaServer server;
-    private DnsTransferClient upstream;
+    private final List<DnsTransferClient> upstreams = new ArrayList<>();
 
     /** A machine that holds nothing yet of these zones. */
     ControlMachine(List<String> zones) {
@@ -61,13 +61,14 @@
         return Futures.await(Futures.onLoop(vertx, () -> server.listen(new Address(LOOPBACK, port))));
     }
 
-    /** Follows a primary from now on. */
+    /** Follows the zones of one primary from now on. */
     void follow(Address primary, List<String> zones) throws Exception {
-        DiscoveryConfig config = new DiscoveryConfig(REGION, "", List.of(new Replica(primary, REGION, "")), zones, POLL_US,
+        DiscoveryConfig config = new DiscoveryConfig("", "", List.of(new Replica(primary, "", "")), zones, POLL_US,
             TIMEOUT_US, TRANSFER_US, UPSTREAM_BYTES_PER_S, UPSTREAM_BYTES_PER_S, MAX_TRANSFER_BYTES);
         Futures.onLoop(vertx, () -> {
-            upstream = new DnsTransferClient(vertx, clock, timers, new Random(), config, List.of(), list -> {}, line -> {})
-                .onZone(state::take);
+            DnsTransferClient upstream = new DnsTransferClient(vertx, clock, timers, new Random(), config, List.of(), list -> {},
+                line -> {}).onZone(state::take);
+            upstreams.add(upstream);
             upstream.start();
             return null;
         });
@@ -100,9 +101,7 @@
     /** Ends, as a process that is killed. */
     void kill() throws Exception {
         Futures.await(Futures.onLoop(vertx, () -> {
-            if (upstream != null) {
-                upstream.close();
-            }
+            upstreams.forEach(DnsTransferClient::close);
             return server.close(FAREWELL_US);
         }));
         Futures.await(vertx.close());
--- a/src/main/java/grebewick/lab/fleet/Distribution.java
+++ b/src/main/java/grebewick/lab/fleet/Distribution.java
@@ -9,12 +9,13 @@
 import java.util.Random;
 import java.util.function.IntFunction;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** Ways in which the list reaches gatekeepers: the client's side and the control machines' side of each. */
 public enum Distribution {
     /** Each gatekeeper polls one name service for the whole list, ten times a second. */
-    POLL(machines -> new PolledNameService(), (vertx, clock, timers, machines, zones, seed, news, log) -> {
-        FleetPoller poller = new FleetPoller(vertx, timers, machines.get(0), 0, List.of(), news, log);
+    POLL(machines -> new PolledNameService(), (vertx, clock, timers, task, news, log) -> {
+        FleetPoller poller = new FleetPoller(vertx, timers, task.controlMachines().get(0), 0, List.of(), news, log);
         return new ServerListSource() {
             @Override
             public void start() {
@@ -29,9 +30,8 @@
     }),
 
     /** Each gatekeeper follows the zones of the services that it calls at replicas, by incremental transfers. */
-    TRANSFER(ReplicaControlPlane::new, (vertx, clock, timers, machines, zones, seed, news, log) -> {
-        DnsTransferClient client = new DnsTransferClient(vertx, clock, timers, new Random(seed), config(machines, zones),
-            List.of(),
+    TRANSFER(ReplicaControlPlane::new, (vertx, clock, timers, task, news, log) -> {
+        DnsTransferClient client = new DnsTransferClient(vertx, clock, timers, new Random(task.seed()), config(task), List.of(),
             news, log);
         return new ServerListSource() {
             @Override
@@ -46,8 +46,6 @@
         };
     });
 
-    private static final String REGION = "east";
-
     private final IntFunction<ControlPlane> controlPlane;
     private final ServerListSource.Factory sources;
 
@@ -56,12 +54,17 @@
         this.sources = sources;
     }
 
-    /** With the budgets that a configuration file has where it names none. */
-    private static DiscoveryConfig config(List<Address> machines, List<String> zones) {
-        String replicas = machines.stream().map(a -> "{\"address\":\"" + a.host() + ":" + a.port() + "\",\"region\":\"" + REGION
-            + "\"}").collect(Collectors.joining(","));
-        String names = zones.stream().map(zone -> '"' + zone + '"').collect(Collectors.joining(","));
-        return DiscoveryConfig.parse("{\"region\":\"" + REGION + "\",\"replicas\":[" + replicas + "],\"zones\":[" + names + "]}");
+    /** With the budgets that a configuration file has where it names none; machines of the own region are nearer. */
+    private static DiscoveryConfig config(ServerListSource.Task task) {
+        FleetPlan plan = task.plan();
+        List<Address> machines = task.controlMachines();
+        String replicas = IntStream.range(0, machines.size())
+            .mapToObj(i -> "{\"address\":\"" + machines.get(i).host() + ":" + machines.get(i).port() + "\",\"region\":\""
+                + FleetPlan.regionName(plan.regionOf(i)) + "\"}")
+            .collect(Collectors.joining(","));
+        String zones = plan.zonesOf(task.gatekeeper()).stream().map(zone -> '"' + zone + '"').collect(Collectors.joining(","));
+        String region = FleetPlan.regionName(plan.regionOf(task.gatekeeper()));
+        return DiscoveryConfig.parse("{\"region\":\"" + region + "\",\"replicas\":[" + replicas + "],\"zones\":[" + zones + "]}");
     }
 
     /** Servers in the whole list of a gatekeeper. */
--- a/src/main/java/grebewick/lab/fleet/HollowFleet.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleet.java
@@ -48,6 +48,9 @@
     @Option(names = "--called", defaultValue = "20", description = "services of a gatekeeper (${DEFAULT-VALUE})")
     private int called;
 
+    @Option(names = "--regions", defaultValue = "2", description = "1 or 2; a service has a zone in each (${DEFAULT-VALUE})")
+    private int regions;
+
     @Option(names = "--machines", defaultValue = "12", description = "control machines to ask (${DEFAULT-VALUE})")
     private int machineCount;
 
@@ -90,7 +93,8 @@
                 "heaps of " + workers + " times " + heapMb + " MB are more than " + WORKER_HEAP_LIMIT_MB);
         }
         ResultTable table = new ResultTable("HollowFleet", List.of("--distribution=" + distribution, "--servers=" + servers,
-            "--gatekeepers=" + gatekeepers, "--services=" + services, "--called=" + called, "--machines=" + machineCount,
+            "--gatekeepers=" + gatekeepers, "--services=" + services, "--called=" + called, "--regions=" + regions,
+            "--machines=" + machineCount,
             "--workers=" + workers, "--loops=" + loops, "--in-use=" + inUse,
             "--changes=" + changes,
             "--every-ms=" + everyMs, "--idle=" + idleSeconds, "--spread-ms=" + spreadMs),
@@ -128,7 +132,7 @@
             this.listed = listed;
             this.count = count;
             this.table = table;
-            plan = new FleetPlan(listed, Math.min(services, listed), Math.min(called, Math.min(services, listed)));
+            plan = FleetPlan.fitting(listed, services, called, regions);
             hosts = new ArrayList<>(StandInFleet.hosts(listed, List.of(START_SERVER_PORT)));
             machines = control.open(plan);
             control.publish(hosts, plan);
@@ -140,7 +144,8 @@
                 processes.add(new WorkerProcess(heapMb,
                     List.of("--distribution=" + distribution, "--machines=" + String.join(",", addresses),
                         "--first=" + from, "--gatekeepers=" + (until - from), "--listed=" + listed,
-                        "--services=" + plan.services(), "--called=" + plan.called(), "--in-use=" + inUse,
+                        "--services=" + plan.services(), "--called=" + plan.called(), "--regions=" + plan.regions(),
+                        "--in-use=" + inUse,
                         "--spread-ms=" + spreadMs, "--loops=" + loops, "--most-seconds=" + 8 * PATIENCE_S)));
             }
             meter = new TrafficMeter(control, machines.size());
--- a/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
@@ -6,6 +6,7 @@
 import grebewick.core.Clock;
 import grebewick.lab.GatekeeperConfig;
 import grebewick.lab.StandInFleet;
+import grebewick.lab.fleet.ServerListSource.Task;
 import grebewick.lab.measure.ProcessSample;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -23,6 +24,7 @@
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -55,6 +57,9 @@
     @Option(names = "--called", required = true, description = "services that a gatekeeper calls")
     private int called;
 
+    @Option(names = "--regions", required = true)
+    private int regions;
+
     @Option(names = "--in-use", required = true, description = "servers that a gatekeeper works with at the most")
     private int inUse;
 
@@ -107,18 +112,15 @@
         gatekeepers.clear();
         times.clear();
         List<Address> addresses = machines.stream().map(Address::parse).toList();
-        FleetPlan plan = new FleetPlan(listed, services, called);
+        FleetPlan plan = new FleetPlan(listed, services, called, regions);
         Random random = new Random(first);
         for (int i = 0; i < count; i++) {
-            int number = first + i;
-            String name = "g" + number;
+            Task task = new Task(plan, first + i, addresses, ThreadLocalRandom.current().nextLong());
             CompletableFuture<HollowGatekeeper> made = new CompletableFuture<>();
             int delayMs = 1 + random.nextInt(Math.max(1, spreadMs));
             Context context = ((VertxInternal) vertx).createEventLoopContext();
             context.runOnContext(v -> {
-                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, name, distribution.listedFor(plan, number),
-                    inUse, addresses, plan.zonesOf(number),
-                    distribution.sources(), clock, times);
+                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, distribution, task, inUse, clock, times);
                 vertx.setTimer(delayMs, t -> gatekeeper.start());
                 made.complete(gatekeeper);
             });
--- a/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
+++ b/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
@@ -1,6 +1,5 @@
 package grebewick.lab.fleet;
 
-import grebewick.config.Address;
 import grebewick.config.Endpoint;
 import grebewick.core.CallControl.Fleet;
 import grebewick.core.CallControl.Scope;
@@ -18,7 +17,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * The control code of one gatekeeper as {@code Node} wires it, without callers and without connections to servers: each
@@ -41,26 +39,23 @@
     /**
      * A gatekeeper that does not ask yet.
      *
-     * @param name what tells it from others
-     * @param listed servers in its whole list
-     * @param zones of the services that it calls
+     * @param task what it asks for, and its number
      * @param inUse servers that it works with at the most
      */
-    HollowGatekeeper(Vertx vertx, Settings settings, String name, int listed, int inUse, List<Address> controlMachines,
-                     List<String> zones,
-                     ServerListSource.Factory sources, Clock clock, ChangeTimes times) {
+    HollowGatekeeper(Vertx vertx, Settings settings, Distribution distribution, ServerListSource.Task task, int inUse,
+                     Clock clock, ChangeTimes times) {
         this.clock = clock;
         this.times = times;
-        this.listed = listed;
-        Timers timers = (us, task) -> {
-            long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> task.run());
+        listed = distribution.listedFor(task.plan(), task.gatekeeper());
+        Timers timers = (us, due) -> {
+            long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> due.run());
             return () -> vertx.cancelTimer(id);
         };
-        subset = new Subset(inUse, settings.familyInfo().poolsByClass(), name, line -> {});
-        long seed = ThreadLocalRandom.current().nextLong();
-        core = new Gatekeeper<>(settings, new Logic(settings, seed), clock, timers, new RestingServers(), (peer, bytes) -> {},
+        subset = new Subset(inUse, settings.familyInfo().poolsByClass(), "g" + task.gatekeeper(), line -> {});
+        core = new Gatekeeper<>(settings, new Logic(settings, task.seed()), clock, timers, new RestingServers(),
+            (peer, bytes) -> {},
             line -> {});
-        source = sources.create(vertx, clock, timers, controlMachines, zones, seed, this::tell, line -> {});
+        source = distribution.sources().create(vertx, clock, timers, task, this::tell, line -> {});
     }
 
     /** Starts asking for the list. */
--- a/src/main/java/grebewick/lab/fleet/ReplicaControlPlane.java
+++ b/src/main/java/grebewick/lab/fleet/ReplicaControlPlane.java
@@ -15,7 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** A primary and its replicas; gatekeepers ask the replicas. */
+/** A primary of each region, and replicas of all of them; gatekeepers ask the replicas. */
 final class ReplicaControlPlane implements ControlPlane {
     private static final int PATIENCE_S = 120;
     private static final double UNITS = 4;
@@ -26,9 +26,9 @@
     private final Map<String, ZoneContent> contents = new HashMap<>();
     private final Map<Integer, Traffic> before = new HashMap<>();
     private final long epoch = System.currentTimeMillis();
-    private List<String> zones = List.of();
-    private ControlMachine primary;
-    private Address primaryAddress;
+    private final List<ControlMachine> primaries = new ArrayList<>();
+    private final List<Address> primaryAddresses = new ArrayList<>();
+    private FleetPlan plan;
 
     /** So many replicas, which open with the first list. */
     ReplicaControlPlane(int replicas) {
@@ -37,17 +37,25 @@
 
     @Override
     public List<Address> open(FleetPlan plan) throws Exception {
-        zones = plan.zones();
-        primary = new ControlMachine(zones);
-        primaryAddress = primary.listen(0);
+        this.plan = plan;
+        for (int region = 0; region < plan.regions(); region++) {
+            primaries.add(new ControlMachine(plan.zonesOfRegion(region)));
+            primaryAddresses.add(primaries.get(region).listen(0));
+        }
         for (int i = 0; i < replicas; i++) {
-            machines.add(new ControlMachine(zones));
+            machines.add(new ControlMachine(plan.zones()));
             addresses.add(machines.get(i).listen(0));
-            machines.get(i).follow(primaryAddress, zones);
+            followAll(machines.get(i));
         }
         return List.copyOf(addresses);
     }
 
+    private void followAll(ControlMachine replica) throws Exception {
+        for (int region = 0; region < plan.regions(); region++) {
+            replica.follow(primaryAddresses.get(region), plan.zonesOfRegion(region));
+        }
+    }
+
     @Override
     public void publish(List<Host> hosts, FleetPlan plan) throws Exception {
         Map<String, List<Endpoint>> byZone = new HashMap<>();
@@ -64,7 +72,11 @@
             }
         });
         contents.putAll(changed);
-        primary.take(changed);
+        for (int region = 0; region < plan.regions(); region++) {
+            Map<String, ZoneContent> own = new HashMap<>(changed);
+            own.keySet().retainAll(plan.zonesOfRegion(region));
+            primaries.get(region).take(own);
+        }
     }
 
     private static Endpoint endpoint(Host host) {
@@ -76,9 +88,9 @@
     public void awaitReady() throws Exception {
         long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
         for (ControlMachine machine : machines) {
-            while (machine.held() < zones.size()) {
+            while (machine.held() < plan.zones().size()) {
                 if (System.nanoTime() > endNs) {
-                    throw new IOException("a replica holds " + machine.held() + " of " + zones.size() + " zones");
+                    throw new IOException("a replica holds " + machine.held() + " of " + plan.zones().size() + " zones");
                 }
                 Thread.sleep(100);
             }
@@ -97,13 +109,13 @@
 
     @Override
     public void restart(int machine) throws Exception {
-        ControlMachine next = new ControlMachine(zones);
+        ControlMachine next = new ControlMachine(plan.zones());
         synchronized (this) {
             before.put(machine, traffic(machine));
             machines.set(machine, next);
         }
         next.listen(addresses.get(machine).port());
-        next.follow(primaryAddress, zones);
+        followAll(next);
     }
 
     @Override
@@ -112,7 +124,9 @@
             for (ControlMachine machine : machines) {
                 machine.kill();
             }
-            primary.kill();
+            for (ControlMachine primary : primaries) {
+                primary.kill();
+            }
         } catch (Exception e) {
             System.err.println("a control machine did not end: " + e.getMessage());
         }
--- a/src/main/java/grebewick/lab/fleet/ServerListSource.java
+++ b/src/main/java/grebewick/lab/fleet/ServerListSource.java
@@ -17,17 +17,24 @@
     /** Asks no more. */
     Future<Void> close();
 
+    /**
+     * What a client is to ask for, and where.
+     *
+     * @param plan says which zones the gatekeeper follows, and the regions
+     * @param gatekeeper its number
+     * @param controlMachines where lists are to be had, by number
+     * @param seed of the client's own randomness
+     */
+    record Task(FleetPlan plan, int gatekeeper, List<Address> controlMachines, long seed) {}
+
     /** Makes the clients of one kind of distribution. */
     interface Factory {
         /**
          * A client that does not ask yet, on the event loop of the caller.
          *
-         * @param controlMachines where lists are to be had
-         * @param zones of the services that this gatekeeper calls, for those who can ask for less than the whole list
-         * @param seed of the client's own randomness
          * @param news takes each newer list, whole
          */
-        ServerListSource create(Vertx vertx, Clock clock, Timers timers, List<Address> controlMachines, List<String> zones,
-                                long seed, Consumer<List<Endpoint>> news, Consumer<String> log);
+        ServerListSource create(Vertx vertx, Clock clock, Timers timers, Task task, Consumer<List<Endpoint>> news,
+                                Consumer<String> log);
     }
 }
