Replica: sources, so that a secondary follows the primary of each region

The plan has two regions, each with the primary of its own zones, and gatekeepers ask any replica for the zones of both. A secondary had one list of upstreams for all zones: with two primaries each would have been asked for the other's zones, refused them (NOTAUTH) and been left out in turn. A secondary now takes a list of sources, each with its upstreams, zones and client; their number holds until a restart. counters_ms sets the time between two lines with the counters.

Tests changed: SecondarySource takes lists, ReplicaConfig.sources stands for follow (asserted as strictly: a single source with the same replicas and zones; none for a primary); new ones for two sources, their faults, and a process that follows two primaries.

--- a/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
@@ -10,6 +10,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -25,8 +26,6 @@
     private static final long ANSWERS_US = 1_000_000;
     /** s. For the start and for the end of all of it. */
     private static final long PATIENCE_S = 10;
-    /** us. Between lines with the counters. */
-    private static final long COUNTERS_US = 60_000_000;
 
     private final ReplicaConfig config;
     private final Consumer<String> log;
@@ -59,18 +58,22 @@
     }
 
     private ZoneSource source(String file, Clock clock) {
-        if (config.follow() == null) {
+        if (config.sources().isEmpty()) {
             return new PrimarySource(vertx, config.zoneFile(), config.markFile(), System.currentTimeMillis());
         }
-        return new SecondarySource(vertx, clock, timers, new SplittableRandom(), config.follow(), () -> follow(file), log);
+        return new SecondarySource(vertx, clock, timers, new SplittableRandom(), config.sources(),
+            () -> sources(file, config.sources().size()), log);
     }
 
-    private static DiscoveryConfig follow(String file) {
-        DiscoveryConfig follow = ReplicaConfig.load(file).follow();
-        if (follow == null) {
+    private static List<DiscoveryConfig> sources(String file, int number) {
+        List<DiscoveryConfig> sources = ReplicaConfig.load(file).sources();
+        if (sources.isEmpty()) {
             throw new ConfigurationException(file + ": replica: field role cannot change without a restart");
         }
-        return follow;
+        if (sources.size() != number) {
+            throw new ConfigurationException(file + ": replica: field sources cannot change its length without a restart");
+        }
+        return sources;
     }
 
     private Runnable after(long us, Runnable task) {
@@ -110,7 +113,7 @@
     }
 
     private void countLater() {
-        nextCounters = timers.after(COUNTERS_US, () -> {
+        nextCounters = timers.after(config.countersUs(), () -> {
             log.accept(counters());
             countLater();
         });
--- a/src/test/java/grebewick/ReplicaProcessTest.java
+++ b/src/test/java/grebewick/ReplicaProcessTest.java
@@ -175,6 +175,35 @@
         assertThat(primaryLines).contains("replica ends");
     }
 
+    /** A secondary of two primaries, each with the zones of its region. */
+    @Test
+    void aSecondaryFollowsThePrimariesOfTwoRegions() throws Exception {
+        List<ReplicaProcess> primaries = new ArrayList<>();
+        List<String> sources = new ArrayList<>();
+        for (String region : List.of("east", "west")) {
+            Path zones = folder.resolve(region + "-zones.json");
+            Files.writeString(zones, "{\"zones\":{\"s1." + region + ".fleet.local.\":[" + server(1) + "]}}");
+            Path file = folder.resolve(region + ".json");
+            Files.writeString(file,
+                "{\"listen\":\"127.0.0.1:0\",\"role\":\"primary\",\"zone_file\":\"" + zones.getFileName() + "\"}");
+            BlockingQueue<String> primaryLines = new LinkedBlockingQueue<>();
+            primaries.add(ReplicaProcess.start(file.toString(), primaryLines::add));
+            sources.add("{\"upstreams\":[\"" + primaryLines.take().replaceAll(".* at ", "") + "\"],\"zones\":[\"s1." + region
+                + ".fleet.local.\"]}");
+        }
+        Path second = folder.resolve("secondary.json");
+        String head = "{\"listen\":\"127.0.0.1:0\",\"role\":\"secondary\",\"poll_ms\":50,\"counters_ms\":20,\"sources\":[";
+        Files.writeString(second, head + String.join(",", sources) + "]}");
+        start(List.of(), Map.of(), "replica", second.toString());
+        line("; 2 of 2 zones held");
+        Files.writeString(second, head + sources.get(0) + "]}");
+        signal("HUP");
+        assertThat(line("zones not read anew")).contains("field sources cannot change its length without a restart");
+        signal("TERM");
+        assertThat(ended()).isEqualTo(TERMINATED);
+        primaries.forEach(ReplicaProcess::close);
+    }
+
     private static ZoneVersion awaitCopy(int port) throws Exception {
         TransferResponse response = ask(port, null);
         while (!(response instanceof FullCopy)) {
--- a/src/test/java/grebewick/discovery/replica/ReplicaConfigTest.java
+++ b/src/test/java/grebewick/discovery/replica/ReplicaConfigTest.java
@@ -5,14 +5,19 @@
 
 import grebewick.config.Address;
 import grebewick.config.ConfigurationException;
+import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.discovery.transfer.Replica;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** A replica's own file. */
 class ReplicaConfigTest {
     private static final Path FOLDER = Path.of("/etc/grebewick");
+    private static final String SOURCES = "{\"listen\":\"127.0.0.1:1\",\"role\":\"secondary\",\"sources\":[";
+    private static final String SOURCE = "{\"upstreams\":[\"127.0.0.1:2\"],\"zones\":[\"a.\"]}";
     private static final String SECONDARY = "{\"listen\":\"127.0.0.1:1\",\"role\":\"secondary\",\"upstreams\":[\"127.0.0.1:2\"],";
 
     @Test
@@ -23,9 +28,11 @@
         assertThat(primary.markFile()).hasFileName("replica-zones.json.marks");
         ReplicaConfig secondary = ReplicaConfig.load("deploy/replica-secondary.json");
         assertThat(secondary.zoneFile()).isNull();
-        assertThat(primary.follow()).isNull();
-        assertThat(secondary.follow().replicas()).containsExactly(new Replica(new Address("127.0.0.1", 5300), "", ""));
-        assertThat(secondary.follow().zones()).contains("s1.east.fleet.local.");
+        assertThat(primary.sources()).isEmpty();
+        assertThat(secondary.sources()).singleElement().satisfies(source -> {
+            assertThat(source.replicas()).containsExactly(new Replica(new Address("127.0.0.1", 5300), "", ""));
+            assertThat(source.zones()).contains("s1.east.fleet.local.");
+        });
     }
 
     @Test
@@ -41,15 +48,32 @@
         assertThat(usual.server()).isEqualTo(ServerLimits.DEFAULT);
     }
 
+    @Test
+    void eachRegionsPrimaryIsASourceOfItsOwnZones() {
+        ReplicaConfig given = ReplicaConfig.parse("""
+            {"listen":"127.0.0.1:1","role":"secondary","poll_ms":700,"counters_ms":250,"sources":[
+             {"upstreams":["127.0.0.1:2"],"zones":["s1.east.","s2.east."]},
+             {"upstreams":["127.0.0.1:3","127.0.0.1:4"],"zones":["s1.west."]}]}""", FOLDER);
+        assertThat(given.sources()).extracting(DiscoveryConfig::zones)
+            .containsExactly(List.of("s1.east.", "s2.east."), List.of("s1.west."));
+        assertThat(given.sources().get(1).replicas()).extracting(each -> each.address().port()).containsExactly(3, 4);
+        assertThat(given.sources()).allMatch(source -> source.pollUs() == 700_000);
+        assertThat(given.countersUs()).isEqualTo(250_000);
+    }
+
     @Test
     void whatIsWrongIsNamed() {
-        Map<String, String> faults = Map.of(
+        Map<String, String> faults = faults(
             "{\"role\":\"primary\"}", "field listen is missing",
             "{\"listen\":\"here\",\"role\":\"primary\"}", "field listen: 'here' is not host:port",
             "{\"listen\":\"127.0.0.1:1\"}", "field role is missing",
             "{\"listen\":\"127.0.0.1:1\",\"role\":\"third\"}", "field role is neither",
             "{\"listen\":\"127.0.0.1:1\",\"role\":\"primary\"}", "field zone_file is missing",
             "{\"listen\":\"127.0.0.1:1\",\"role\":\"secondary\",\"zones\":[\"a.\"]}", "field upstreams is missing or empty",
+            SOURCES + "]}", "field sources is empty",
+            SOURCES + "{\"zones\":[\"a.\"]}]}", "field upstreams is missing or empty",
+            SOURCES + SOURCE + "," + SOURCE + "]}", "field sources has zone a. twice",
+            SOURCES + SOURCE + "],\"zones\":[\"b.\"]}", "field sources stands beside upstreams or zones",
             SECONDARY + "\"zones\":[]}", "field zones is missing or empty",
             SECONDARY + "\"zones\":[\"s1\"]}", "field zones: 's1' is no absolute name",
             SECONDARY + "\"zones\":[\"a.\"],\"limits\":{\"transfers\":0}}", "replica.limits: field transfers",
@@ -59,4 +83,12 @@
         assertThatThrownBy(() -> ReplicaConfig.load("deploy/none.json")).isInstanceOf(ConfigurationException.class)
             .hasMessageContaining("deploy/none.json");
     }
+
+    private static Map<String, String> faults(String... textsAndMessages) {
+        Map<String, String> faults = new LinkedHashMap<>();
+        for (int i = 0; i < textsAndMessages.length; i += 2) {
+            faults.put(textsAndMessages[i], textsAndMessages[i + 1]);
+        }
+        return faults;
+    }
 }
--- a/src/test/java/grebewick/discovery/replica/SecondarySourceTest.java
+++ b/src/test/java/grebewick/discovery/replica/SecondarySourceTest.java
@@ -45,7 +45,7 @@
     private Upstream secondary;
     private SecondarySource source;
     private BlockingClient client;
-    private DiscoveryConfig next;
+    private List<DiscoveryConfig> next;
 
     /** A replica with its server. */
     private final class Upstream {
@@ -104,8 +104,9 @@
     private void startSecondary(int port) throws Exception {
         secondary = new Upstream(Set.of(), port);
         client = new BlockingClient(secondary.address.port());
+        List<DiscoveryConfig> configs = List.of(config(ZONE));
         source = s.on(() -> {
-            SecondarySource made = new SecondarySource(s.vertx, s.clock, s.clock, new SplittableRandom(SEED), config(ZONE),
+            SecondarySource made = new SecondarySource(s.vertx, s.clock, s.clock, new SplittableRandom(SEED), configs,
                 () -> next, log::add);
             made.start(new Events());
             return made;
@@ -215,15 +216,16 @@
     void zonesAreReadAnewAndAFaultChangesNothing() throws Exception {
         upstreams.forEach(upstream -> upstream.take(samples.content(FIRST, 2)));
         untilHeld(FIRST);
-        next = config(ZONE, OTHER_ZONE);
+        next = List.of(config(ZONE, OTHER_ZONE));
         s.await(source::reread);
         assertThat(s.on(() -> secondary.state.served())).containsExactlyInAnyOrder(ZONE, OTHER_ZONE);
         assertThat(client.ask(new TransferRequest(9, OTHER_ZONE, Optional.empty())))
             .isEqualTo(new Failed(FailureReason.SERVFAIL));
         assertThat(client.ask(query(FIRST))).isEqualTo(new UpToDate(FIRST));
-        SecondarySource faulty = new SecondarySource(s.vertx, s.clock, s.clock, new SplittableRandom(SEED), config(ZONE), () -> {
-            throw new ConfigurationException("no");
-        }, log::add);
+        SecondarySource faulty = new SecondarySource(s.vertx, s.clock, s.clock, new SplittableRandom(SEED),
+            List.of(config(ZONE)), () -> {
+                throw new ConfigurationException("no");
+            }, log::add);
         assertThat(s.await(() -> faulty.reread().map(done -> "read").otherwise(Throwable::getMessage))).isEqualTo("no");
         s.await(faulty::close);
     }
