Hollow fleet: control machines as processes, more parts, the 99th percentile

Control machines shared the tool's process, so that their own cost could not be told. Each primary and replica is now the product's command 'replica' in a JVM of its own, with JSON files in a temporary folder, SIGHUP for changes and its counters' line read; a kill ends the process, a restart starts an empty one at the same port. The table has messages, core % and RSS of the busiest replica and primary. Hold times go into an HdrHistogram. System.gc ran in every report, twice a second while a part waited, and its time counted as the gatekeepers': it runs now after the part without changes alone.

--- a/src/main/java/grebewick/lab/fleet/Distribution.java
+++ b/src/main/java/grebewick/lab/fleet/Distribution.java
@@ -7,14 +7,14 @@
 import io.vertx.core.Future;
 import java.util.List;
 import java.util.Random;
-import java.util.function.IntFunction;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /** Ways in which the list reaches gatekeepers: the client's side and the control machines' side of each. */
 public enum Distribution {
     /** Each gatekeeper polls one name service for the whole list, ten times a second. */
-    POLL(machines -> new PolledNameService(), (vertx, clock, timers, task, news, log) -> {
+    POLL(options -> new PolledNameService(), (vertx, clock, timers, task, news, log) -> {
         FleetPoller poller = new FleetPoller(vertx, timers, task.controlMachines().get(0), 0, List.of(), news, log);
         return new ServerListSource() {
             @Override
@@ -30,26 +30,28 @@
     }),
 
     /** Each gatekeeper follows the zones of the services that it calls at replicas, by incremental transfers. */
-    TRANSFER(ReplicaControlPlane::new, (vertx, clock, timers, task, news, log) -> {
-        DnsTransferClient client = new DnsTransferClient(vertx, clock, timers, new Random(task.seed()), config(task), List.of(),
-            news, log);
-        return new ServerListSource() {
-            @Override
-            public void start() {
-                client.start();
-            }
+    TRANSFER(options -> new ReplicaControlPlane(options.machines, options.controlJvm),
+        (vertx, clock, timers, task, news, log) -> {
+            DnsTransferClient client = new DnsTransferClient(vertx, clock, timers, new Random(task.seed()), config(task),
+                List.of(),
+                news, log);
+            return new ServerListSource() {
+                @Override
+                public void start() {
+                    client.start();
+                }
 
-            @Override
-            public Future<Void> close() {
-                return client.close();
-            }
-        };
-    });
+                @Override
+                public Future<Void> close() {
+                    return client.close();
+                }
+            };
+        });
 
-    private final IntFunction<ControlPlane> controlPlane;
+    private final Function<FleetOptions, ControlPlane> controlPlane;
     private final ServerListSource.Factory sources;
 
-    Distribution(IntFunction<ControlPlane> controlPlane, ServerListSource.Factory sources) {
+    Distribution(Function<FleetOptions, ControlPlane> controlPlane, ServerListSource.Factory sources) {
         this.controlPlane = controlPlane;
         this.sources = sources;
     }
@@ -77,9 +79,9 @@
         return this == POLL ? gatekeepers : plan.followers(place, gatekeepers);
     }
 
-    /** So many new control machines, where the way has any number of them; they are not open yet. */
-    ControlPlane controlPlane(int machines) {
-        return controlPlane.apply(machines);
+    /** New control machines, which are not open yet. */
+    ControlPlane controlPlane(FleetOptions options) {
+        return controlPlane.apply(options);
     }
 
     /** Makes the gatekeepers' clients. */
--- a/src/main/java/grebewick/lab/fleet/FleetPlan.java
+++ b/src/main/java/grebewick/lab/fleet/FleetPlan.java
@@ -14,6 +14,8 @@
  * @param regions that servers, gatekeepers and control machines are spread over, in turn
  */
 public record FleetPlan(int servers, int services, int called, int regions) {
+    /** Parts of a region, such as buildings, that fail as a whole. */
+    private static final int CELLS = 5;
     private static final List<String> REGION_NAMES = List.of("east", "west");
 
     /** Checks that there is a server for each zone, a service for each call and a name for each region. */
@@ -55,6 +57,11 @@
         return "s" + service + "." + regionName(region) + ".fleet.local.";
     }
 
+    /** Whether the server at this place of the list is in this fifth of the servers, which has a fifth of each service's. */
+    boolean isOfCell(int place, int cell) {
+        return (place / (services * regions) + place % services) % CELLS == cell;
+    }
+
     /** All zones of all regions. */
     List<String> zones() {
         return IntStream.range(0, regions).boxed().flatMap(region -> zonesOfRegion(region).stream()).toList();
--- a/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
@@ -31,8 +31,9 @@
 import picocli.CommandLine.Option;
 
 /**
- * One process of hollow gatekeepers, driven by lines on its standard input: {@code start}, {@code report}; it ends with its
- * input, and by itself when its time is up.
+ * One process of hollow gatekeepers, driven by lines on its standard input, each answered by a report: {@code begin} with a
+ * Unix time in us, of which on changes count; {@code start} all anew; {@code collect} the garbage; {@code report}. It ends with
+ * its input, and by itself when its time is up.
  */
 @Command(name = "HollowFleetWorker", mixinStandardHelpOptions = true)
 public final class HollowFleetWorker implements Callable<Integer> {
@@ -63,6 +64,9 @@
     @Option(names = "--in-use", required = true, description = "servers that a gatekeeper works with at the most")
     private int inUse;
 
+    @Option(names = "--module", required = true, arity = "1", description = "whether gatekeepers have one")
+    private boolean hasModule;
+
     @Option(names = "--spread-ms", required = true, description = "ms over which starts are spread")
     private int spreadMs;
 
@@ -92,18 +96,23 @@
         print(List.of(WorkerReport.END));
         BufferedReader commands = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
         for (String line = commands.readLine(); line != null; line = commands.readLine()) {
-            switch (line) {
-                case "start" -> {
-                    startAll(settings);
-                    print(List.of(WorkerReport.END));
-                }
-                case "report" -> print(report().lines());
-                default -> throw new IOException("no such command: " + line);
-            }
+            run(line, settings);
+            print(report().lines());
         }
         return 0;
     }
 
+    private void run(String line, Settings settings) throws Exception {
+        String[] words = line.split(" ");
+        switch (words[0]) {
+            case "begin" -> times.begin(Long.parseLong(words[1]));
+            case "start" -> startAll(settings);
+            case "collect" -> System.gc();
+            case "report" -> {}
+            default -> throw new IOException("no such command: " + line);
+        }
+    }
+
     /** Ends those that run, and starts as many anew, each at a moment of its own. */
     private void startAll(Settings settings) throws Exception {
         List<Future<Void>> closed = new ArrayList<>();
@@ -120,7 +129,8 @@
             int delayMs = 1 + random.nextInt(Math.max(1, spreadMs));
             Context context = ((VertxInternal) vertx).createEventLoopContext();
             context.runOnContext(v -> {
-                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, distribution, task, inUse, clock, times);
+                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, distribution, task, inUse, hasModule,
+                    clock, times);
                 vertx.setTimer(delayMs, t -> gatekeeper.start());
                 made.complete(gatekeeper);
             });
@@ -129,11 +139,10 @@
     }
 
     private WorkerReport report() throws IOException {
-        System.gc();
         long heapKb = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed() / 1024;
         ProcessSample sample = ProcessSample.ofThisProcess();
         return new WorkerReport(times.currentCount(), times.lastCurrentUs(), sample.cpuNs(), sample.residentKb(), heapKb,
-            times.changes());
+            times.changes(), times.delaysUs());
     }
 
     private static void print(List<String> lines) {
--- a/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
+++ b/src/main/java/grebewick/lab/fleet/HollowGatekeeper.java
@@ -12,7 +12,9 @@
 import grebewick.core.Servers;
 import grebewick.core.Timers;
 import grebewick.discovery.Subset;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.HashMap;
 import java.util.List;
@@ -27,34 +29,45 @@
     /** free, size, can_take, queue. */
     private static final List<Double> AT_REST = List.of(1000.0, 1000.0, 1000.0, 0.0);
 
+    private final Context loop;
     private final Clock clock;
     private final Subset subset;
+    /** Null: none. */
     private final Gatekeeper<byte[]> core;
     private final ServerListSource source;
     private final ChangeTimes times;
     private final int listed;
     private final Map<String, Long> startedUs = new HashMap<>();
     private boolean current;
+    private boolean isClosed;
 
     /**
      * A gatekeeper that does not ask yet.
      *
      * @param task what it asks for, and its number
      * @param inUse servers that it works with at the most
+     * @param hasModule whether its module hears of the list; otherwise the list's client alone is there
      */
     HollowGatekeeper(Vertx vertx, Settings settings, Distribution distribution, ServerListSource.Task task, int inUse,
-                     Clock clock, ChangeTimes times) {
+                     boolean hasModule, Clock clock, ChangeTimes times) {
+        loop = vertx.getOrCreateContext();
         this.clock = clock;
         this.times = times;
         listed = distribution.listedFor(task.plan(), task.gatekeeper());
         Timers timers = (us, due) -> {
-            long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> due.run());
+            long id = vertx.setTimer(Math.max(1, (us + 999) / 1000), t -> {
+                if (!isClosed) {
+                    due.run();
+                }
+            });
             return () -> vertx.cancelTimer(id);
         };
         subset = new Subset(inUse, settings.familyInfo().poolsByClass(), "g" + task.gatekeeper(), line -> {});
-        core = new Gatekeeper<>(settings, new Logic(settings, task.seed()), clock, timers, new RestingServers(),
-            (peer, bytes) -> {},
-            line -> {});
+        core = hasModule
+            ? new Gatekeeper<>(settings, new Logic(settings, task.seed()), clock, timers, new RestingServers(),
+                (peer, bytes) -> {},
+                line -> {})
+            : null;
         source = distribution.sources().create(vertx, clock, timers, task, this::tell, line -> {});
     }
 
@@ -63,14 +76,21 @@
         source.start();
     }
 
-    /** Asks no more; the module's timers go on until the process ends. */
+    /** Asks no more, and its module does nothing more. */
     Future<Void> close() {
-        return source.close();
+        Promise<Void> closed = Promise.promise();
+        loop.runOnContext(v -> {
+            isClosed = true;
+            source.close().onComplete(closed);
+        });
+        return closed.future();
     }
 
     private void tell(List<Endpoint> whole) {
         List<Endpoint> used = subset.of(whole);
-        core.fleet(new Fleet(Scope.COMPLETE, 0, used.stream().map(Endpoint::entry).toList()), Map.of());
+        if (core != null) {
+            core.fleet(new Fleet(Scope.COMPLETE, 0, used.stream().map(Endpoint::entry).toList()), Map.of());
+        }
         long nowUs = clock.nowUs();
         for (Endpoint each : whole) {
             long launchedUs = each.entry().launchedUs();
--- a/src/main/java/grebewick/lab/fleet/PolledNameService.java
+++ b/src/main/java/grebewick/lab/fleet/PolledNameService.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.util.List;
+import java.util.Map;
 
 /** One stand-in name service, as the platform has one. */
 final class PolledNameService implements ControlPlane {
@@ -20,14 +21,15 @@
     private int port;
 
     @Override
-    public List<Address> open(FleetPlan plan) throws Exception {
+    public List<Address> open(FleetPlan plan, Map<Integer, Host> first) throws Exception {
         port = Futures.await(names.listen());
+        publish(first);
         return List.of(new Address(LOOPBACK, port));
     }
 
     @Override
-    public void publish(List<Host> now, FleetPlan plan) throws Exception {
-        hosts = List.copyOf(now);
+    public void publish(Map<Integer, Host> now) throws Exception {
+        hosts = List.copyOf(now.values());
         Futures.onLoop(vertx, () -> {
             names.list(hosts);
             return null;
@@ -64,6 +66,26 @@
         Futures.await(next.listen(port));
     }
 
+    @Override
+    public List<MachineUse> uses() {
+        return List.of();
+    }
+
+    @Override
+    public boolean hasReplicas() {
+        return false;
+    }
+
+    @Override
+    public void split() {
+        throw new IllegalStateException("there is one name service");
+    }
+
+    @Override
+    public void meet() {
+        throw new IllegalStateException("there is one name service");
+    }
+
     @Override
     public void close() {
         vertx.close();
--- a/src/main/java/grebewick/lab/fleet/ReplicaControlPlane.java
+++ b/src/main/java/grebewick/lab/fleet/ReplicaControlPlane.java
@@ -1,134 +1,185 @@
 package grebewick.lab.fleet;
 
 import grebewick.config.Address;
-import grebewick.config.Endpoint;
-import grebewick.core.CallControl.ServerEntry;
-import grebewick.core.CallControl.Stage;
-import grebewick.discovery.transfer.ZoneContent;
+import grebewick.discovery.transfer.TransferCodec;
+import grebewick.discovery.transfer.TransferRequest;
 import grebewick.discovery.transfer.ZoneVersion;
 import grebewick.lab.StandInNames.Host;
 import grebewick.lab.measure.Traffic;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-/** A primary of each region, and replicas of all of them; gatekeepers ask the replicas. */
+/** A primary of each region, and replicas of all of them, each a process of its own; gatekeepers ask the replicas. */
 final class ReplicaControlPlane implements ControlPlane {
+    private static final Address ANY_PORT = new Address("127.0.0.1", 0);
     private static final int PATIENCE_S = 120;
-    private static final double UNITS = 4;
+    private static final int LOOK_AGAIN_MS = 100;
+    /** Bytes of a query with the asker's version. */
+    private static final int QUERY_BYTES = TransferCodec.encodeQuery(new TransferRequest(0, "s112.east.fleet.local.",
+        Optional.of(new ZoneVersion(System.currentTimeMillis(), 1)))).length;
 
-    private final int replicas;
-    private final List<ControlMachine> machines = new ArrayList<>();
-    private final List<Address> addresses = new ArrayList<>();
-    private final Map<String, ZoneContent> contents = new HashMap<>();
-    private final Map<Integer, Traffic> before = new HashMap<>();
-    private final long epoch = System.currentTimeMillis();
-    private final List<ControlMachine> primaries = new ArrayList<>();
+    /** What a machine's processes before the present one have used. */
+    private record Before(Traffic traffic, long cpuNs) {
+        private static final Before NOTHING = new Before(Traffic.NONE, 0);
+    }
+
+    private final int replicaCount;
+    private final List<String> options;
+    private final List<ControlProcess> primaries = new ArrayList<>();
+    private final List<ControlProcess> replicas = new ArrayList<>();
     private final List<Address> primaryAddresses = new ArrayList<>();
+    private final List<Address> addresses = new ArrayList<>();
+    private final Map<Integer, Before> before = new HashMap<>();
+    private Map<Integer, Host> published = Map.of();
     private FleetPlan plan;
+    private ControlFiles files;
 
-    /** So many replicas, which open with the first list. */
-    ReplicaControlPlane(int replicas) {
-        this.replicas = replicas;
+    /**
+     * Machines that are not started yet.
+     *
+     * @param options of their JVMs
+     */
+    ReplicaControlPlane(int replicas, List<String> options) {
+        this.replicaCount = replicas;
+        this.options = options;
     }
 
     @Override
-    public List<Address> open(FleetPlan plan) throws Exception {
-        this.plan = plan;
+    public List<Address> open(FleetPlan thePlan, Map<Integer, Host> hosts) throws Exception {
+        plan = thePlan;
+        files = new ControlFiles(plan);
+        published = Map.copyOf(hosts);
         for (int region = 0; region < plan.regions(); region++) {
-            primaries.add(new ControlMachine(plan.zonesOfRegion(region)));
-            primaryAddresses.add(primaries.get(region).listen(0));
+            files.writeZones(region, hosts);
+            primaries.add(new ControlProcess(options, files.writePrimary(region)));
+        }
+        for (ControlProcess primary : primaries) {
+            primaryAddresses.add(primary.awaitAddress());
+        }
+        for (int i = 0; i < replicaCount; i++) {
+            replicas.add(new ControlProcess(options, files.writeReplica(i, ANY_PORT, primaryAddresses, false)));
         }
-        for (int i = 0; i < replicas; i++) {
-            machines.add(new ControlMachine(plan.zones()));
-            addresses.add(machines.get(i).listen(0));
-            followAll(machines.get(i));
+        for (ControlProcess replica : replicas) {
+            addresses.add(replica.awaitAddress());
         }
         return List.copyOf(addresses);
     }
 
-    private void followAll(ControlMachine replica) throws Exception {
-        for (int region = 0; region < plan.regions(); region++) {
-            replica.follow(primaryAddresses.get(region), plan.zonesOfRegion(region));
+    @Override
+    public void awaitReady() throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        int zones = plan.zones().size();
+        for (ControlProcess replica : replicas) {
+            while (replica.counters().held() < zones) {
+                if (System.nanoTime() > endNs) {
+                    throw new IOException("a replica holds " + replica.counters().held() + " of " + zones + " zones");
+                }
+                Thread.sleep(LOOK_AGAIN_MS);
+            }
         }
     }
 
     @Override
-    public void publish(List<Host> hosts, FleetPlan plan) throws Exception {
-        Map<String, List<Endpoint>> byZone = new HashMap<>();
-        for (int place = 0; place < hosts.size(); place++) {
-            byZone.computeIfAbsent(plan.zone(place), zone -> new ArrayList<>()).add(endpoint(hosts.get(place)));
-        }
-        Map<String, ZoneContent> changed = new HashMap<>();
-        byZone.forEach((zone, servers) -> {
-            ZoneContent held = contents.get(zone);
-            ZoneVersion next = held == null ? new ZoneVersion(epoch, 1) : held.version().next();
-            ZoneContent content = ZoneContent.of(next, servers);
-            if (held == null || !held.servers().equals(content.servers())) {
-                changed.put(zone, content);
-            }
-        });
-        contents.putAll(changed);
+    public void publish(Map<Integer, Host> hosts) throws Exception {
         for (int region = 0; region < plan.regions(); region++) {
-            Map<String, ZoneContent> own = new HashMap<>(changed);
-            own.keySet().retainAll(plan.zonesOfRegion(region));
-            primaries.get(region).take(own);
+            if (!ofRegion(region, hosts).equals(ofRegion(region, published))) {
+                files.writeZones(region, hosts);
+                primaries.get(region).reload();
+            }
         }
+        published = Map.copyOf(hosts);
     }
 
-    private static Endpoint endpoint(Host host) {
-        return new Endpoint(new ServerEntry(host.id(), host.group(), host.drains() ? Stage.CORDONED : Stage.HEALTHY,
-            host.startedMs() * 1000, "std", host.zone(), UNITS), new Address("127.0.0.1", host.port()));
+    private Map<Integer, Host> ofRegion(int region, Map<Integer, Host> hosts) {
+        Map<Integer, Host> own = new HashMap<>(hosts);
+        own.keySet().removeIf(place -> plan.regionOfServer(place) != region);
+        return own;
     }
 
     @Override
-    public void awaitReady() throws Exception {
-        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
-        for (ControlMachine machine : machines) {
-            while (machine.held() < plan.zones().size()) {
-                if (System.nanoTime() > endNs) {
-                    throw new IOException("a replica holds " + machine.held() + " of " + plan.zones().size() + " zones");
-                }
-                Thread.sleep(100);
-            }
-        }
+    public synchronized Traffic traffic(int machine) {
+        return before.getOrDefault(machine, Before.NOTHING).traffic.plus(traffic(replicas.get(machine)));
+    }
+
+    private static Traffic traffic(ControlProcess process) {
+        ReplicaLogLine counters = process.counters();
+        return new Traffic(counters.queries(), counters.queries() * QUERY_BYTES, counters.queries(), counters.bytes());
     }
 
     @Override
-    public synchronized Traffic traffic(int machine) {
-        return before.getOrDefault(machine, Traffic.NONE).plus(machines.get(machine).traffic());
+    public List<MachineUse> uses() throws IOException {
+        List<MachineUse> uses = new ArrayList<>();
+        for (ControlProcess primary : primaries) {
+            uses.add(new MachineUse(true, primary.cpuNs(), primary.residentKb(), traffic(primary).messages()));
+        }
+        for (int i = 0; i < replicas.size(); i++) {
+            ControlProcess replica = replicas.get(i);
+            long cpuNs = before.getOrDefault(i, Before.NOTHING).cpuNs + replica.cpuNs();
+            uses.add(new MachineUse(false, cpuNs, replica.residentKb(), traffic(i).messages()));
+        }
+        return uses;
     }
 
     @Override
     public void kill(int machine) throws Exception {
-        machines.get(machine).kill();
+        replicas.get(machine).kill();
     }
 
     @Override
     public void restart(int machine) throws Exception {
-        ControlMachine next = new ControlMachine(plan.zones());
+        Path file = files.writeReplica(machine, addresses.get(machine), primaryAddresses, false);
+        ControlProcess next = new ControlProcess(options, file);
+        ControlProcess last = replicas.get(machine);
+        long cpuNs = before.getOrDefault(machine, Before.NOTHING).cpuNs + last.cpuNs();
         synchronized (this) {
-            before.put(machine, traffic(machine));
-            machines.set(machine, next);
+            before.put(machine, new Before(traffic(machine), cpuNs));
+            replicas.set(machine, next);
         }
-        next.listen(addresses.get(machine).port());
-        followAll(next);
+        next.awaitAddress();
     }
 
     @Override
-    public void close() {
+    public boolean hasReplicas() {
+        return true;
+    }
+
+    @Override
+    public void split() throws Exception {
+        configureReplicas(true);
+    }
+
+    @Override
+    public void meet() throws Exception {
+        configureReplicas(false);
+    }
+
+    private void configureReplicas(boolean isSplit) throws Exception {
+        for (int i = 0; i < replicas.size(); i++) {
+            files.writeReplica(i, addresses.get(i), primaryAddresses, isSplit);
+            replicas.get(i).reload();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        List<ControlProcess> all = new ArrayList<>(primaries);
+        all.addAll(replicas);
+        all.forEach(ControlProcess::end);
         try {
-            for (ControlMachine machine : machines) {
-                machine.kill();
+            for (ControlProcess process : all) {
+                process.awaitEnd();
             }
-            for (ControlMachine primary : primaries) {
-                primary.kill();
-            }
-        } catch (Exception e) {
-            System.err.println("a control machine did not end: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (files != null) {
+            files.delete();
         }
     }
 }
--- a/src/main/java/grebewick/lab/fleet/WorkerProcess.java
+++ b/src/main/java/grebewick/lab/fleet/WorkerProcess.java
@@ -1,5 +1,6 @@
 package grebewick.lab.fleet;
 
+import grebewick.lab.JavaCommand;
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
 import java.io.IOException;
@@ -16,14 +17,10 @@
     private final BufferedWriter commands;
     private final BufferedReader answers;
 
-    /** Starts it with so much heap, and returns once it takes commands. */
-    WorkerProcess(int heapMb, List<String> arguments) throws IOException {
-        List<String> command = new ArrayList<>(
-            List.of(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
-                "-Xmx" + heapMb + "m", "-XX:TieredStopAtLevel=1", "-Dio.netty.jfr.enabled=false", "-cp",
-                System.getProperty("java.class.path"), HollowFleetWorker.class.getName()));
-        command.addAll(arguments);
-        process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+    /** Starts it with these options of its JVM, and returns once it takes commands. */
+    WorkerProcess(List<String> options, List<String> arguments) throws IOException {
+        process = new ProcessBuilder(JavaCommand.of(options, HollowFleetWorker.class.getName(), arguments))
+            .redirectError(ProcessBuilder.Redirect.INHERIT).start();
         commands = new BufferedWriter(new OutputStreamWriter(process.getOutputStream(), StandardCharsets.US_ASCII));
         answers = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.US_ASCII));
         read();
--- a/src/test/java/grebewick/lab/fleet/FleetPlanTest.java
+++ b/src/test/java/grebewick/lab/fleet/FleetPlanTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
 class FleetPlanTest {
@@ -47,6 +48,17 @@
         assertThat(servers.values()).allMatch(count -> count >= 6 && count <= 7);
     }
 
+    @Test
+    void aCellHasAFifthOfTheServersOfEachService() {
+        FleetPlan large = new FleetPlan(3_800, 280, 20, 2);
+        long[] inCell = new long[large.services()];
+        IntStream.range(0, large.servers()).filter(place -> large.isOfCell(place, 0))
+            .forEach(place -> inCell[place % large.services()]++);
+        assertThat(LongStream.of(inCell).sum()).isBetween(740L, 780L);
+        assertThat(LongStream.of(inCell).boxed()).allMatch(count -> count >= 2 && count <= 4);
+        assertThat(IntStream.range(0, 5).filter(cell -> large.isOfCell(1_234, cell))).hasSize(1);
+    }
+
     @Test
     void aServersZoneIsOneOfItsRegion() {
         for (int place = 0; place < plan.servers(); place++) {
