--- a/src/main/java/grebewick/lab/fleet/Distribution.java
+++ b/src/main/java/grebewick/lab/fleet/Distribution.java
@@ -1,20 +1,21 @@
 package grebewick.lab.fleet;
 
 import grebewick.config.Address;
-import grebewick.discovery.dns.ServerListPoller;
 import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.discovery.transfer.DnsTransferClient;
+import grebewick.discovery.dns.ServerListPoller;
 import io.vertx.core.Future;
 import java.util.List;
 import java.util.Random;
-import java.util.function.IntFunction;
+import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** Ways in which the list reaches gatekeepers: the client's side and the control machines' side of each. */
 public enum Distribution {
     /** Each gatekeeper polls one name service for the whole list, ten times a second. */
-    POLL(machines -> new PolledNameService(), (vertx, clock, timers, machines, zones, seed, news, log) -> {
-        ServerListPoller poller = new ServerListPoller(vertx, timers, machines.get(0), 0, List.of(), news, log);
+    POLL(options -> new PolledNameService(), (vertx, clock, timers, task, news, log) -> {
+        ServerListPoller poller = new ServerListPoller(vertx, timers, task.controlMachines().get(0), 0, List.of(), news, log);
         return new ServerListSource() {
             @Override
             public void start() {
@@ -29,39 +30,43 @@
     }),
 
     /** Each gatekeeper follows the zones of the services that it calls at replicas, by incremental transfers. */
-    TRANSFER(ReplicaControlPlane::new, (vertx, clock, timers, machines, zones, seed, news, log) -> {
-        DnsTransferClient client = new DnsTransferClient(vertx, clock, timers, new Random(seed), config(machines, zones),
-            List.of(),
-            news, log);
-        return new ServerListSource() {
-            @Override
-            public void start() {
-                client.start();
-            }
-
-            @Override
-            public Future<Void> close() {
-                return client.close();
-            }
-        };
-    });
+    TRANSFER(options -> new ReplicaControlPlane(options.machines, options.controlJvm),
+        (vertx, clock, timers, task, news, log) -> {
+            DnsTransferClient client = new DnsTransferClient(vertx, clock, timers, new Random(task.seed()), config(task),
+                List.of(),
+                news, log);
+            return new ServerListSource() {
+                @Override
+                public void start() {
+                    client.start();
+                }
 
-    private static final String REGION = "east";
+                @Override
+                public Future<Void> close() {
+                    return client.close();
+                }
+            };
+        });
 
-    private final IntFunction<ControlPlane> controlPlane;
+    private final Function<FleetOptions, ControlPlane> controlPlane;
     private final ServerListSource.Factory sources;
 
-    Distribution(IntFunction<ControlPlane> controlPlane, ServerListSource.Factory sources) {
+    Distribution(Function<FleetOptions, ControlPlane> controlPlane, ServerListSource.Factory sources) {
         this.controlPlane = controlPlane;
         this.sources = sources;
     }
 
-    /** With the budgets that a configuration file has where it names none. */
-    private static DiscoveryConfig config(List<Address> machines, List<String> zones) {
-        String replicas = machines.stream().map(a -> "{\"address\":\"" + a.host() + ":" + a.port() + "\",\"region\":\"" + REGION
-            + "\"}").collect(Collectors.joining(","));
-        String names = zones.stream().map(zone -> '"' + zone + '"').collect(Collectors.joining(","));
-        return DiscoveryConfig.parse("{\"region\":\"" + REGION + "\",\"replicas\":[" + replicas + "],\"zones\":[" + names + "]}");
+    /** With the budgets that a configuration file has where it names none; machines of the own region are nearer. */
+    private static DiscoveryConfig config(ServerListSource.Task task) {
+        FleetPlan plan = task.plan();
+        List<Address> machines = task.controlMachines();
+        String replicas = IntStream.range(0, machines.size())
+            .mapToObj(i -> "{\"address\":\"" + machines.get(i).host() + ":" + machines.get(i).port() + "\",\"region\":\""
+                + FleetPlan.regionName(plan.regionOf(i)) + "\"}")
+            .collect(Collectors.joining(","));
+        String zones = plan.zonesOf(task.gatekeeper()).stream().map(zone -> '"' + zone + '"').collect(Collectors.joining(","));
+        String region = FleetPlan.regionName(plan.regionOf(task.gatekeeper()));
+        return DiscoveryConfig.parse("{\"region\":\"" + region + "\",\"replicas\":[" + replicas + "],\"zones\":[" + zones + "]}");
     }
 
     /** Servers in the whole list of a gatekeeper. */
@@ -74,9 +79,9 @@
         return this == POLL ? gatekeepers : plan.followers(place, gatekeepers);
     }
 
-    /** So many new control machines, where the way has any number of them; they are not open yet. */
-    ControlPlane controlPlane(int machines) {
-        return controlPlane.apply(machines);
+    /** New control machines, which are not open yet. */
+    ControlPlane controlPlane(FleetOptions options) {
+        return controlPlane.apply(options);
     }
 
     /** Makes the gatekeepers' clients. */
--- a/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
+++ b/src/main/java/grebewick/lab/fleet/HollowFleetWorker.java
@@ -6,6 +6,7 @@
 import grebewick.core.Clock;
 import grebewick.lab.GatekeeperConfig;
 import grebewick.lab.StandInFleet;
+import grebewick.lab.fleet.ServerListSource.Task;
 import grebewick.lab.measure.ProcessSample;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -23,14 +24,16 @@
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /**
- * One process of hollow gatekeepers, driven by lines on its standard input: {@code start}, {@code report}; it ends with its
- * input, and by itself when its time is up.
+ * One process of hollow gatekeepers, driven by lines on its standard input, each answered by a report: {@code begin} with a
+ * Unix time in us, of which on changes count; {@code start} all anew; {@code collect} the garbage; {@code report}. It ends with
+ * its input, and by itself when its time is up.
  */
 @Command(name = "HollowFleetWorker", mixinStandardHelpOptions = true)
 public final class HollowFleetWorker implements Callable<Integer> {
@@ -55,9 +58,15 @@
     @Option(names = "--called", required = true, description = "services that a gatekeeper calls")
     private int called;
 
+    @Option(names = "--regions", required = true)
+    private int regions;
+
     @Option(names = "--in-use", required = true, description = "servers that a gatekeeper works with at the most")
     private int inUse;
 
+    @Option(names = "--module", required = true, arity = "1", description = "whether gatekeepers have one")
+    private boolean hasModule;
+
     @Option(names = "--spread-ms", required = true, description = "ms over which starts are spread")
     private int spreadMs;
 
@@ -87,18 +96,23 @@
         print(List.of(WorkerReport.END));
         BufferedReader commands = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
         for (String line = commands.readLine(); line != null; line = commands.readLine()) {
-            switch (line) {
-                case "start" -> {
-                    startAll(settings);
-                    print(List.of(WorkerReport.END));
-                }
-                case "report" -> print(report().lines());
-                default -> throw new IOException("no such command: " + line);
-            }
+            run(line, settings);
+            print(report().lines());
         }
         return 0;
     }
 
+    private void run(String line, Settings settings) throws Exception {
+        String[] words = line.split(" ");
+        switch (words[0]) {
+            case "begin" -> times.begin(Long.parseLong(words[1]));
+            case "start" -> startAll(settings);
+            case "collect" -> System.gc();
+            case "report" -> {}
+            default -> throw new IOException("no such command: " + line);
+        }
+    }
+
     /** Ends those that run, and starts as many anew, each at a moment of its own. */
     private void startAll(Settings settings) throws Exception {
         List<Future<Void>> closed = new ArrayList<>();
@@ -107,18 +121,16 @@
         gatekeepers.clear();
         times.clear();
         List<Address> addresses = machines.stream().map(Address::parse).toList();
-        FleetPlan plan = new FleetPlan(listed, services, called);
+        FleetPlan plan = new FleetPlan(listed, services, called, regions);
         Random random = new Random(first);
         for (int i = 0; i < count; i++) {
-            int number = first + i;
-            String name = "g" + number;
+            Task task = new Task(plan, first + i, addresses, ThreadLocalRandom.current().nextLong());
             CompletableFuture<HollowGatekeeper> made = new CompletableFuture<>();
             int delayMs = 1 + random.nextInt(Math.max(1, spreadMs));
             Context context = ((VertxInternal) vertx).createEventLoopContext();
             context.runOnContext(v -> {
-                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, name, distribution.listedFor(plan, number),
-                    inUse, addresses, plan.zonesOf(number),
-                    distribution.sources(), clock, times);
+                HollowGatekeeper gatekeeper = new HollowGatekeeper(vertx, settings, distribution, task, inUse, hasModule,
+                    clock, times);
                 vertx.setTimer(delayMs, t -> gatekeeper.start());
                 made.complete(gatekeeper);
             });
@@ -127,11 +139,10 @@
     }
 
     private WorkerReport report() throws IOException {
-        System.gc();
         long heapKb = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed() / 1024;
         ProcessSample sample = ProcessSample.ofThisProcess();
         return new WorkerReport(times.currentCount(), times.lastCurrentUs(), sample.cpuNs(), sample.residentKb(), heapKb,
-            times.changes());
+            times.changes(), times.delaysUs());
     }
 
     private static void print(List<String> lines) {
