List client: transfers from a replica share one kept connection (RFC 7766)

Cause: a zone of 14 servers is 2,054 bytes, over the 1,232 of a datagram, and each first copy opened a TCP connection of its own: 40 for a start with 40 zones.

Change: TransferConnections (no I/O) decides which connection takes a query, when it is closed (1 s without a query, at once after a refusal) and what becomes of the queries behind one that failed: all without an answer are asked again, the replica is blamed once. TransferConnection carries several queries and tells answers apart by id. A zone that is not held is asked of a replica with an open connection. The budget counts a connection's bytes when one is opened, and each query's. Two transfers at a time as before.

Tests: SimClient follows the new actions; ServerListPropertyTest also breaks connections, its bounds unchanged.

--- a/src/main/java/grebewick/discovery/replica/ServerLimits.java
+++ b/src/main/java/grebewick/discovery/replica/ServerLimits.java
@@ -9,7 +9,7 @@
  * @param answerUs for a whole answer until a connection is closed
  */
 public record ServerLimits(int connections, long idleUs, long stalledUs, long answerUs) {
-    /** Clients ask once a connection and read at once. */
+    /** Clients keep a connection for 1 s without a query, and read at once. */
     public static final ServerLimits DEFAULT = new ServerLimits(256, 5_000_000, 3_000_000, 30_000_000);
 
     /** These, with another number of connections. */
--- a/src/main/java/grebewick/discovery/transfer/ClientAction.java
+++ b/src/main/java/grebewick/discovery/transfer/ClientAction.java
@@ -15,11 +15,20 @@
      */
     record SendQuery(long request, Replica replica, String zone, Optional<ZoneVersion> held) implements ClientAction {}
 
-    /** Ask over TCP; as {@link SendQuery}. */
-    record OpenTransfer(long request, Replica replica, String zone, Optional<ZoneVersion> held) implements ClientAction {}
+    /**
+     * Open a connection for transfers. Its end goes to {@link ServerListClient#disconnected}, unless it was told by
+     * {@link CloseConnection}.
+     *
+     * @param connection number of this connection, never used twice
+     */
+    record OpenConnection(long connection, Replica replica) implements ClientAction {}
+
+    /** Ask on a connection that was opened; as {@link SendQuery}. Others may be asked on it and not answered yet. */
+    record SendTransfer(long request, long connection, Replica replica, String zone,
+                        Optional<ZoneVersion> held) implements ClientAction {}
 
-    /** Close the connection of a transfer; nothing more is wanted of it. */
-    record CloseTransfer(long request) implements ClientAction {}
+    /** Close a connection; nothing more is wanted of what was asked on it. */
+    record CloseConnection(long connection) implements ClientAction {}
 
     /** Forget a query: no answer to it is wanted any more. */
     record ForgetQuery(long request) implements ClientAction {}
--- a/src/main/java/grebewick/discovery/transfer/ClientStatistics.java
+++ b/src/main/java/grebewick/discovery/transfer/ClientStatistics.java
@@ -8,6 +8,7 @@
     private final Map<TransferFailure, Long> failures = new EnumMap<>(TransferFailure.class);
     private long queries;
     private long transfers;
+    private long connections;
     private long incrementals;
     private long copies;
     private long gaps;
@@ -24,6 +25,11 @@
         return transfers;
     }
 
+    /** Connections opened for transfers. */
+    public long connections() {
+        return connections;
+    }
+
     /** Sequences of changes that were applied. */
     public long incrementals() {
         return incrementals;
@@ -62,6 +68,10 @@
         transfers++;
     }
 
+    void connectionOpened() {
+        connections++;
+    }
+
     void applied(TransferResponse response) {
         if (response instanceof TransferResponse.FullCopy) {
             copies++;
@@ -88,7 +98,8 @@
 
     @Override
     public String toString() {
-        return "queries " + queries + ", transfers " + transfers + ", incrementals " + incrementals + ", copies " + copies
+        return "queries " + queries + ", transfers " + transfers + ", connections " + connections + ", incrementals "
+            + incrementals + ", copies " + copies
             + ", gaps " + gaps + ", late answers " + lateAnswers + ", failures " + failures;
     }
 }
--- a/src/main/java/grebewick/discovery/transfer/DnsTransferClient.java
+++ b/src/main/java/grebewick/discovery/transfer/DnsTransferClient.java
@@ -4,12 +4,13 @@
 import grebewick.config.Endpoint;
 import grebewick.core.Clock;
 import grebewick.core.Timers;
-import grebewick.discovery.transfer.ClientAction.CloseTransfer;
+import grebewick.discovery.transfer.ClientAction.CloseConnection;
 import grebewick.discovery.transfer.ClientAction.ForgetQuery;
 import grebewick.discovery.transfer.ClientAction.Log;
-import grebewick.discovery.transfer.ClientAction.OpenTransfer;
+import grebewick.discovery.transfer.ClientAction.OpenConnection;
 import grebewick.discovery.transfer.ClientAction.Publish;
 import grebewick.discovery.transfer.ClientAction.SendQuery;
+import grebewick.discovery.transfer.ClientAction.SendTransfer;
 import grebewick.discovery.transfer.ClientAction.ZoneChanged;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -32,8 +33,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * The sockets of a {@link ServerListClient}: one for datagrams, which stays open, and a connection for each transfer. All on
- * one event loop.
+ * The sockets of a {@link ServerListClient}: one for datagrams, which stays open, and the connections for transfers. All on one
+ * event loop.
  */
 public final class DnsTransferClient {
     /** Bytes of the largest datagram: Netty reads 2,048 unless told, and drops the rest. */
@@ -159,10 +160,12 @@
             send(query);
         } else if (action instanceof ForgetQuery query) {
             forget(query.request());
-        } else if (action instanceof OpenTransfer transfer) {
-            connect(transfer);
-        } else if (action instanceof CloseTransfer transfer) {
-            connections.remove(transfer.request()).close();
+        } else if (action instanceof OpenConnection connection) {
+            connect(connection);
+        } else if (action instanceof SendTransfer transfer) {
+            connections.get(transfer.connection()).ask(transfer.request(), transfer.zone(), transfer.held());
+        } else if (action instanceof CloseConnection connection) {
+            connections.remove(connection.connection()).close();
         } else if (action instanceof ZoneChanged zone) {
             zoneNews.accept(zone.zone(), zone.content());
         } else if (action instanceof Publish list) {
@@ -216,7 +219,7 @@
         }
         forget(query.request);
         step(now -> {
-            client.received(now, query.request, bytes.length);
+            client.received(now, bytes.length);
             try {
                 client.answered(now, query.request, TransferCodec.decodeDatagram(query.asked, bytes));
             } catch (TransferException e) {
@@ -226,31 +229,41 @@
         });
     }
 
-    private void connect(OpenTransfer transfer) {
-        TransferRequest asked = new TransferRequest(random.nextInt(MAX_ID + 1), transfer.zone(), transfer.held());
-        long request = transfer.request();
-        TransferConnection connection = new TransferConnection(vertx.getOrCreateContext(), asked, config.maxTransferBytes(),
+    private void connect(OpenConnection wanted) {
+        long number = wanted.connection();
+        TransferConnection connection = new TransferConnection(vertx.getOrCreateContext(), random, config.maxTransferBytes(),
             new TransferConnection.Listener() {
                 @Override
                 public void received(int bytes) {
-                    client.received(clock.nowUs(), request, bytes);
+                    client.streamed(clock.nowUs(), bytes);
                 }
 
                 @Override
-                public void answered(TransferResponse response) {
-                    connections.remove(request);
+                public void answered(long request, TransferResponse response) {
                     step(now -> client.answered(now, request, response));
                 }
 
                 @Override
-                public void failed(TransferFailure failure, String cause) {
-                    connections.remove(request);
-                    complain(transfer.replica() + ", zone " + transfer.zone() + ": " + cause);
-                    step(now -> client.failed(now, request, failure));
+                public void failed(long request, String cause) {
+                    complain(wanted.replica() + ": " + cause);
+                    step(now -> client.failed(now, request, TransferFailure.MALFORMED));
+                }
+
+                @Override
+                public void disconnected(TransferFailure failure, String cause) {
+                    complain(wanted.replica() + ": " + cause);
+                    connections.remove(number);
+                    step(now -> client.disconnected(now, number, failure));
+                }
+
+                @Override
+                public void closedIdle() {
+                    connections.remove(number);
+                    step(now -> client.disconnected(now, number, TransferFailure.DISCONNECTED));
                 }
             });
-        connections.put(request, connection);
-        connection.open(tcp, transfer.replica());
+        connections.put(number, connection);
+        connection.open(tcp, wanted.replica());
     }
 
     private void complain(String text) {
--- a/src/main/java/grebewick/discovery/transfer/ReplicaSelector.java
+++ b/src/main/java/grebewick/discovery/transfer/ReplicaSelector.java
@@ -50,7 +50,7 @@
 
     /** The nearest replica that is not left out; where all are, the one that is first to come back. */
     public Replica nearest(long nowUs) {
-        return order.stream().filter(replica -> isIn(nowUs, replica)).findFirst().orElseGet(this::firstBack);
+        return order.stream().filter(replica -> isAvailable(nowUs, replica)).findFirst().orElseGet(this::firstBack);
     }
 
     /**
@@ -60,7 +60,7 @@
      * @param last asked before for the same thing, or null
      */
     public Replica any(long nowUs, Replica last) {
-        List<Replica> others = order.stream().filter(replica -> !replica.equals(last) && isIn(nowUs, replica)).toList();
+        List<Replica> others = order.stream().filter(replica -> !replica.equals(last) && isAvailable(nowUs, replica)).toList();
         return others.isEmpty() ? nearest(nowUs) : others.get(random.nextInt(others.size()));
     }
 
@@ -70,7 +70,7 @@
 
     /** The replica to go on with after those tried: one that answered the last time before one that did not. Empty: wait. */
     public Optional<Replica> next(long nowUs, Collection<Replica> tried) {
-        List<Replica> rest = order.stream().filter(replica -> !tried.contains(replica) && isIn(nowUs, replica)).toList();
+        List<Replica> rest = order.stream().filter(replica -> !tried.contains(replica) && isAvailable(nowUs, replica)).toList();
         return rest.stream().filter(replica -> healths.get(replica).failures == 0).findFirst()
             .or(() -> rest.stream().findFirst());
     }
@@ -94,10 +94,11 @@
 
     /** How many are not left out. */
     public int available(long nowUs) {
-        return (int) order.stream().filter(replica -> isIn(nowUs, replica)).count();
+        return (int) order.stream().filter(replica -> isAvailable(nowUs, replica)).count();
     }
 
-    private boolean isIn(long nowUs, Replica replica) {
+    /** Whether a replica is not left out. */
+    boolean isAvailable(long nowUs, Replica replica) {
         return healths.get(replica).leftOutUntilUs <= nowUs;
     }
 }
--- a/src/main/java/grebewick/discovery/transfer/ServerListClient.java
+++ b/src/main/java/grebewick/discovery/transfer/ServerListClient.java
@@ -1,12 +1,13 @@
 package grebewick.discovery.transfer;
 
 import grebewick.config.Endpoint;
-import grebewick.discovery.transfer.ClientAction.CloseTransfer;
+import grebewick.discovery.transfer.ClientAction.CloseConnection;
 import grebewick.discovery.transfer.ClientAction.ForgetQuery;
 import grebewick.discovery.transfer.ClientAction.Log;
-import grebewick.discovery.transfer.ClientAction.OpenTransfer;
+import grebewick.discovery.transfer.ClientAction.OpenConnection;
 import grebewick.discovery.transfer.ClientAction.Publish;
 import grebewick.discovery.transfer.ClientAction.SendQuery;
+import grebewick.discovery.transfer.ClientAction.SendTransfer;
 import grebewick.discovery.transfer.ClientAction.ZoneChanged;
 import grebewick.discovery.transfer.PendingRequests.Pending;
 import grebewick.discovery.transfer.TransferResponse.Failed;
@@ -50,6 +51,7 @@
     private final Consumer<ClientAction> out;
     private final Map<String, ZoneTask> tasks = new LinkedHashMap<>();
     private final PendingRequests pending = new PendingRequests();
+    private final TransferConnections connections = new TransferConnections();
     private final ServerListPublisher publisher;
     private final AgeMonitor age = new AgeMonitor();
     private final ClientStatistics statistics = new ClientStatistics();
@@ -78,6 +80,7 @@
         polls = new ByteBudget(next.pollBytesPerSecond(), next.pollBytesPerSecond());
         transfers = new TransferGate(next.transferBytesPerSecond(), random);
         pending.removeAll().forEach(this::abandon);
+        connections.endAll().forEach(this::close);
         tasks.keySet().retainAll(next.zones());
         for (String zone : next.zones()) {
             tasks.computeIfAbsent(zone, name -> new ZoneTask(name, nowUs))
@@ -107,6 +110,7 @@
             statistics.published();
             out.accept(new Publish(list));
         });
+        connections.endIdle(nowUs).forEach(this::close);
         ZoneTask oldest = oldest();
         age.check(oldest.zone(), nowUs - oldest.confirmedUs).ifPresent(line -> out.accept(new Log(line)));
     }
@@ -114,6 +118,7 @@
     /** us. When {@link #advance} is due next. */
     public long nextUs(long nowUs) {
         long next = Math.min(publisher.dueUs(), oldest().confirmedUs + age.thresholdUs());
+        next = Math.min(next, connections.nextUs());
         long pollsOpenUs = polls.opensAtUs(nowUs);
         long transfersOpenUs = transfers.opensAtUs(nowUs);
         for (ZoneTask task : tasks.values()) {
@@ -126,27 +131,31 @@
         return Math.max(next, nowUs + 1);
     }
 
-    /** Bytes of a datagram, or of a part of a transfer, that came for a request; before what they came to. */
-    public void received(long nowUs, long request, int bytes) {
-        Pending from = pending.get(request);
-        if (from != null && from.isTransfer()) {
-            transfers.received(nowUs, bytes);
-        } else {
-            polls.spend(nowUs, bytes + DATAGRAM_HEADERS);
-        }
+    /** Bytes of a datagram that came; before what it came to. */
+    public void received(long nowUs, int bytes) {
+        polls.spend(nowUs, bytes + DATAGRAM_HEADERS);
+    }
+
+    /** Bytes that came over a connection; before what they came to. */
+    public void streamed(long nowUs, int bytes) {
+        transfers.received(nowUs, bytes);
     }
 
     /** A whole answer to a request. */
     public void answered(long nowUs, long request, TransferResponse response) {
-        if (response instanceof Failed failed) {
-            failed(nowUs, request,
-                failed.reason() == FailureReason.REFUSED ? TransferFailure.REFUSED : TransferFailure.ERROR_CODE);
-            return;
-        }
         Pending from = take(request);
         if (from == null) {
             return;
         }
+        if (from.isTransfer()) {
+            streamGoesOn(nowUs, request, response);
+        }
+        if (response instanceof Failed failed) {
+            if (from.isAwaited()) {
+                failed(nowUs, from, TransferFailure.of(failed.reason()));
+            }
+            return;
+        }
         ZoneTask task = from.task();
         Outcome outcome = task.follower.accept(response);
         if (outcome == Outcome.APPLIED) {
@@ -159,14 +168,30 @@
         }
     }
 
-    /** A request came to nothing. */
+    /** A request came to nothing. If it is a transfer, nothing more is wanted of its connection. */
     public void failed(long nowUs, long request, TransferFailure failure) {
-        Pending from = take(request);
-        if (from != null && from.isAwaited()) {
+        Pending from = pending.get(request);
+        if (from == null) {
+            return;
+        }
+        if (from.isTransfer()) {
+            endConnection(nowUs, connections.of(request).orElseThrow(), request, failure);
+            return;
+        }
+        take(request);
+        if (from.isAwaited()) {
             failed(nowUs, from, failure);
         }
     }
 
+    /** A connection has ended by itself, could not be opened, or brought what can be no answer. */
+    public void disconnected(long nowUs, long connection, TransferFailure failure) {
+        List<Long> requests = connections.end(connection);
+        if (!requests.isEmpty()) {
+            endTransfers(nowUs, requests, requests.get(0), failure);
+        }
+    }
+
     /** us. How long ago the zone that was confirmed longest ago was last confirmed. */
     public long ageUs(long nowUs) {
         return nowUs - oldest().confirmedUs;
@@ -221,14 +246,71 @@
     }
 
     private void transfer(long nowUs, ZoneTask task) {
-        if (task.tried.contains(task.replica)) {
-            task.replica = selector.next(nowUs, task.tried).orElseGet(() -> selector.any(nowUs, task.replica));
-        }
-        task.begin(Phase.TRANSFERRING, nowUs + config.transferUs());
+        task.replica = transferSource(nowUs, task);
+        long connection = connections.to(task.replica).orElseGet(() -> open(nowUs, task.replica));
+        task.begin(Phase.TRANSFERRING, nowUs);
         pending.add(task, true, Long.MAX_VALUE);
+        int before = connections.add(connection, task.request);
+        // Those before it on the connection have their own time.
+        task.dueUs = nowUs + (before + 1) * config.transferUs();
         transfers.begun(nowUs);
         statistics.transferBegun();
-        out.accept(new OpenTransfer(task.request, task.replica, task.zone(), task.follower.asked()));
+        out.accept(new SendTransfer(task.request, connection, task.replica, task.zone(), task.follower.asked()));
+    }
+
+    /**
+     * Which replica to ask for a transfer: the one that said it has a later version. A zone that is not held may come from any
+     * that holds it, so that a start takes few connections: from one to which there is a connection.
+     */
+    private Replica transferSource(long nowUs, ZoneTask task) {
+        boolean isTried = task.tried.contains(task.replica);
+        if (isTried || task.follower.held().isEmpty()) {
+            Optional<Replica> connected = connections
+                .replica(replica -> !task.tried.contains(replica) && selector.isAvailable(nowUs, replica));
+            if (connected.isPresent()) {
+                return connected.get();
+            }
+        }
+        return isTried ? selector.next(nowUs, task.tried).orElseGet(() -> selector.any(nowUs, task.replica)) : task.replica;
+    }
+
+    private long open(long nowUs, Replica replica) {
+        long connection = connections.open(replica);
+        transfers.connectionOpened(nowUs);
+        statistics.connectionOpened();
+        out.accept(new OpenConnection(connection, replica));
+        return connection;
+    }
+
+    /** A transfer was answered: the time of those behind it runs from now on. */
+    private void streamGoesOn(long nowUs, long request, TransferResponse response) {
+        if (response instanceof Failed) {
+            // Over its limits, or without the zone: others are asked, and a connection to it is not kept.
+            connections.retire(request);
+        }
+        for (long behind : connections.answered(nowUs, request)) {
+            ZoneTask task = pending.get(behind).task();
+            task.dueUs = Math.min(task.dueUs, nowUs + config.transferUs());
+        }
+    }
+
+    private void endConnection(long nowUs, long connection, long culprit, TransferFailure failure) {
+        close(connection);
+        endTransfers(nowUs, connections.end(connection), culprit, failure);
+    }
+
+    /** All transfers of a connection come to nothing, and each is asked for again; the replica is blamed once. */
+    private void endTransfers(long nowUs, List<Long> requests, long culprit, TransferFailure failure) {
+        for (long request : requests) {
+            Pending from = take(request);
+            if (request == culprit) {
+                failed(nowUs, from, failure);
+            } else {
+                from.task().request = 0;
+                statistics.failed(TransferFailure.DISCONNECTED);
+                retryTransfer(nowUs, from.task());
+            }
+        }
     }
 
     private Pending take(long request) {
@@ -239,8 +321,14 @@
         return from;
     }
 
+    private void close(long connection) {
+        out.accept(new CloseConnection(connection));
+    }
+
     private void abandon(Pending each) {
-        out.accept(each.isTransfer() ? new CloseTransfer(each.request()) : new ForgetQuery(each.request()));
+        if (!each.isTransfer()) {
+            out.accept(new ForgetQuery(each.request()));
+        }
     }
 
     private void endOverdue(long nowUs) {
@@ -249,7 +337,6 @@
                 continue;
             }
             if (task.phase == Phase.TRANSFERRING) {
-                out.accept(new CloseTransfer(task.request));
                 failed(nowUs, task.request, TransferFailure.TIMEOUT);
             } else if (task.phase == Phase.POLLING) {
                 // Stays pending: its answer may still come, and be the first with something later.
--- a/src/main/java/grebewick/discovery/transfer/TransferConnection.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferConnection.java
@@ -5,52 +5,88 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 
 /**
- * One transfer over TCP. Reads one message a turn of the event loop, and no more from the network meanwhile; what is told of
- * it is told once.
+ * A connection to a replica with its transfers. Answers are told apart by the ids of their messages, in whatever order they
+ * come (RFC 7766, section 7). Reads one message a turn of the event loop, and no more from the network meanwhile; what is told
+ * of a transfer is told once, and nothing after the connection's end.
  */
 final class TransferConnection {
-    /** What a transfer comes to. */
+    /** What becomes of a connection and its transfers. */
     interface Listener {
         /** Bytes came. */
         void received(int bytes);
 
         /** All of an answer is there. */
-        void answered(TransferResponse response);
+        void answered(long request, TransferResponse response);
 
-        /** There will be none. */
-        void failed(TransferFailure failure, String cause);
+        /** There will be none, and what follows on the connection cannot be trusted. */
+        void failed(long request, String cause);
+
+        /** The connection has ended, could not be opened, or brought what belongs to no transfer. */
+        void disconnected(TransferFailure failure, String cause);
+
+        /** The replica has closed it while no answer was due. */
+        void closedIdle();
     }
 
     /** Bytes of a server's records at the least; bounds the records by the bytes. */
     private static final int LEAST_RECORD_BYTES = 12;
     private static final int MAX_MESSAGE_BYTES = 0xffff;
+    private static final int MAX_ID = 0xffff;
+    private static final int ID_BYTES = 2;
+
+    private record Transfer(long request, TransferAssembler assembler) {}
 
     private final Context context;
-    private final TransferRequest request;
+    private final RandomGenerator random;
+    private final long maxBytes;
     private final Listener listener;
-    private final TransferAssembler assembler;
+    private final Map<Integer, Transfer> transfers = new HashMap<>();
     private final MessageFraming framing = new MessageFraming(MAX_MESSAGE_BYTES);
     private final ArrayDeque<byte[]> unread = new ArrayDeque<>();
+    /** Asked before the connection was open. */
+    private final List<Buffer> unsent = new ArrayList<>();
     private NetSocket socket;
     private boolean isReading;
     private boolean isEnded;
     private boolean isDone;
 
-    TransferConnection(Context context, TransferRequest request, long maxBytes, Listener listener) {
+    /** A connection that is not open yet, for answers of up to {@code maxBytes}. */
+    TransferConnection(Context context, RandomGenerator random, long maxBytes, Listener listener) {
         this.context = context;
-        this.request = request;
+        this.random = random;
+        this.maxBytes = maxBytes;
         this.listener = listener;
-        int maxRecords = (int) Math.min(Integer.MAX_VALUE, maxBytes / LEAST_RECORD_BYTES);
-        assembler = new TransferAssembler(request, maxRecords, maxBytes);
     }
 
-    /** Connects and asks. */
+    /** Connects. */
     void open(NetClient client, Replica replica) {
         client.connect(replica.address().socket()).onSuccess(this::connected)
-            .onFailure(e -> fail(TransferFailure.DISCONNECTED, e.getMessage()));
+            .onFailure(e -> end(TransferFailure.DISCONNECTED, e.getMessage()));
+    }
+
+    /** Asks for a transfer, now or once the connection is open. */
+    void ask(long request, String zone, Optional<ZoneVersion> held) {
+        int id = random.nextInt(MAX_ID + 1);
+        while (transfers.containsKey(id)) {
+            id = id + 1 & MAX_ID;
+        }
+        TransferRequest asked = new TransferRequest(id, zone, held);
+        int maxRecords = (int) Math.min(Integer.MAX_VALUE, maxBytes / LEAST_RECORD_BYTES);
+        transfers.put(id, new Transfer(request, new TransferAssembler(asked, maxRecords, maxBytes)));
+        Buffer query = Buffer.buffer(MessageFraming.frame(TransferCodec.encodeQuery(asked)));
+        if (socket == null) {
+            unsent.add(query);
+        } else {
+            socket.write(query);
+        }
     }
 
     /** Ends it; nothing more is told. */
@@ -68,9 +104,10 @@
             return;
         }
         socket.handler(this::read);
-        socket.exceptionHandler(e -> fail(TransferFailure.DISCONNECTED, e.getMessage()));
+        socket.exceptionHandler(e -> end(TransferFailure.DISCONNECTED, e.getMessage()));
         socket.closeHandler(v -> ended());
-        socket.write(Buffer.buffer(MessageFraming.frame(TransferCodec.encodeQuery(request))));
+        unsent.forEach(socket::write);
+        unsent.clear();
     }
 
     private void read(Buffer buffer) {
@@ -81,7 +118,7 @@
         try {
             unread.addAll(framing.add(buffer.getBytes()));
         } catch (TransferException e) {
-            fail(TransferFailure.MALFORMED, e.getMessage());
+            end(TransferFailure.MALFORMED, e.getMessage());
             return;
         }
         if (!isReading && !unread.isEmpty()) {
@@ -99,37 +136,55 @@
         if (message == null) {
             isReading = false;
             if (isEnded) {
-                fail(TransferFailure.DISCONNECTED, "closed within an answer");
+                endedByReplica();
             } else {
                 socket.resume();
             }
             return;
         }
+        take(message);
+        context.runOnContext(v -> readNext());
+    }
+
+    private void take(byte[] message) {
+        int id = message.length < ID_BYTES ? -1 : (message[0] & 0xff) << 8 | message[1] & 0xff;
+        Transfer transfer = transfers.get(id);
+        if (transfer == null) {
+            end(TransferFailure.MALFORMED, "an answer to no query that is open, with id " + id);
+            return;
+        }
         try {
-            Optional<TransferResponse> response = assembler.add(message);
+            Optional<TransferResponse> response = transfer.assembler.add(message);
             if (response.isPresent()) {
-                close();
-                listener.answered(response.get());
-                return;
+                transfers.remove(id);
+                listener.answered(transfer.request, response.get());
             }
         } catch (TransferException e) {
-            fail(TransferFailure.MALFORMED, e.getMessage());
-            return;
+            close();
+            listener.failed(transfer.request, e.getMessage());
         }
-        context.runOnContext(v -> readNext());
     }
 
     private void ended() {
         isEnded = true;
         if (!isReading) {
-            fail(TransferFailure.DISCONNECTED, "closed within an answer");
+            endedByReplica();
+        }
+    }
+
+    private void endedByReplica() {
+        if (!transfers.isEmpty()) {
+            end(TransferFailure.DISCONNECTED, "closed within an answer");
+        } else if (!isDone) {
+            close();
+            listener.closedIdle();
         }
     }
 
-    private void fail(TransferFailure failure, String cause) {
+    private void end(TransferFailure failure, String cause) {
         if (!isDone) {
             close();
-            listener.failed(failure, cause);
+            listener.disconnected(failure, cause);
         }
     }
 }
--- a/src/main/java/grebewick/discovery/transfer/TransferFailure.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferFailure.java
@@ -13,5 +13,10 @@
     /** What came cannot be read, or is of another zone or query. */
     MALFORMED,
     /** The replica holds an older version than the client. */
-    BEHIND
+    BEHIND;
+
+    /** The failure that a response code stands for. */
+    static TransferFailure of(FailureReason reason) {
+        return reason == FailureReason.REFUSED ? REFUSED : ERROR_CODE;
+    }
 }
--- a/src/main/java/grebewick/discovery/transfer/TransferGate.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferGate.java
@@ -9,7 +9,7 @@
 final class TransferGate {
     /** Transfers at the same time. Bounds the memory and the debt of the budget. */
     static final int MAX_TRANSFERS = 2;
-    /** Bytes for opening and closing a connection, counted when it is opened. */
+    /** Bytes for opening and closing a connection, counted when it is opened. Transfers on one that is open cost none. */
     static final int CONNECTION_BYTES = 400;
     /** us. Bounds of the wait after a refusal. */
     private static final long BASE_US = 250_000;
@@ -37,6 +37,10 @@
 
     void begun(long nowUs) {
         open++;
+        budget.spend(nowUs, ServerListClient.QUERY_BYTES);
+    }
+
+    void connectionOpened(long nowUs) {
         budget.spend(nowUs, CONNECTION_BYTES);
     }
 
--- a/src/test/java/grebewick/discovery/transfer/ServerListPropertyTest.java
+++ b/src/test/java/grebewick/discovery/transfer/ServerListPropertyTest.java
@@ -18,6 +18,8 @@
     private static final int ROUNDS = 25;
     private static final int STEPS = 40;
     private static final double IN_FORCE = 9;
+    /** In one of so many steps all connections for transfers break. */
+    private static final int CONNECTIONS_BREAK = 5;
     /** The bursts of both budgets, and what was started last in each: a datagram, and two copies of up to 60 servers. */
     private static final double MOST_FILL = 8_000 + 12_000 + 1_300 + 2 * 12_000;
 
@@ -45,6 +47,9 @@
         SimClient client = net.client(net.config());
         for (int step = 0; step < STEPS; step++) {
             act();
+            if (random.nextInt(CONNECTIONS_BREAK) == 0) {
+                client.connections().forEach(client::disconnected);
+            }
             net.pass(random.nextDouble() * random.nextDouble() * 4);
         }
         heal();
--- a/src/test/java/grebewick/discovery/transfer/SimClient.java
+++ b/src/test/java/grebewick/discovery/transfer/SimClient.java
@@ -3,12 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import grebewick.config.Endpoint;
-import grebewick.discovery.transfer.ClientAction.CloseTransfer;
+import grebewick.discovery.transfer.ClientAction.CloseConnection;
 import grebewick.discovery.transfer.ClientAction.ForgetQuery;
 import grebewick.discovery.transfer.ClientAction.Log;
-import grebewick.discovery.transfer.ClientAction.OpenTransfer;
+import grebewick.discovery.transfer.ClientAction.OpenConnection;
 import grebewick.discovery.transfer.ClientAction.Publish;
 import grebewick.discovery.transfer.ClientAction.SendQuery;
+import grebewick.discovery.transfer.ClientAction.SendTransfer;
 import grebewick.discovery.transfer.ClientAction.ZoneChanged;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -28,6 +29,9 @@
     private final ArrayDeque<ClientAction> actions = new ArrayDeque<>();
     private final Map<String, ZoneVersion> versions = new HashMap<>();
     private final Set<Long> open = new HashSet<>();
+    private final Map<Long, Replica> connections = new HashMap<>();
+    /** Of each transfer that is open, its connection. */
+    private final Map<Long, Long> transfers = new HashMap<>();
     final List<String> log = new ArrayList<>();
     List<Endpoint> published;
     int publications;
@@ -66,8 +70,7 @@
     void answered(long request, int bytes, TransferResponse response) {
         if (open.contains(request)) {
             step(now -> {
-                open.remove(request);
-                client.received(now, request, bytes);
+                received(now, request, bytes);
                 client.answered(now, request, response);
             });
         }
@@ -77,13 +80,33 @@
     void failed(long request, int bytes, TransferFailure failure) {
         if (open.contains(request)) {
             step(now -> {
-                open.remove(request);
-                client.received(now, request, bytes);
+                received(now, request, bytes);
                 client.failed(now, request, failure);
             });
         }
     }
 
+    private void received(long nowUs, long request, int bytes) {
+        open.remove(request);
+        if (transfers.remove(request) == null) {
+            client.received(nowUs, bytes);
+        } else {
+            client.streamed(nowUs, bytes);
+        }
+    }
+
+    /** A connection has ended by itself. */
+    void disconnected(long connection) {
+        connections.remove(connection);
+        transfers.entrySet().removeIf(each -> each.getValue() == connection && open.remove(each.getKey()));
+        step(now -> client.disconnected(now, connection, TransferFailure.DISCONNECTED));
+    }
+
+    /** The numbers of its connections. */
+    Set<Long> connections() {
+        return Set.copyOf(connections.keySet());
+    }
+
     /** The most bytes that were used above what the budgets' rates give, at any time. */
     double largestFill() {
         return largestFill;
@@ -127,11 +150,16 @@
         if (action instanceof SendQuery query) {
             open.add(query.request());
             network.ask(this, query.request(), query.replica(), query.zone(), query.held(), false);
-        } else if (action instanceof OpenTransfer transfer) {
+        } else if (action instanceof OpenConnection connection) {
+            assertThat(connections.put(connection.connection(), connection.replica())).as("a new connection").isNull();
+        } else if (action instanceof SendTransfer transfer) {
+            assertThat(connections.get(transfer.connection())).as("a connection to the replica").isEqualTo(transfer.replica());
             open.add(transfer.request());
+            transfers.put(transfer.request(), transfer.connection());
             network.ask(this, transfer.request(), transfer.replica(), transfer.zone(), transfer.held(), true);
-        } else if (action instanceof CloseTransfer transfer) {
-            assertThat(open.remove(transfer.request())).as("a transfer that is open").isTrue();
+        } else if (action instanceof CloseConnection connection) {
+            assertThat(connections.remove(connection.connection())).as("a connection that is open").isNotNull();
+            transfers.entrySet().removeIf(each -> each.getValue() == connection.connection() && open.remove(each.getKey()));
         } else if (action instanceof ForgetQuery query) {
             assertThat(open.remove(query.request())).as("a query that is open").isTrue();
         } else if (action instanceof ZoneChanged changed) {
