List client: a retry budget on polls

Cause: a poll that timed out was asked at once of the next replica.

Empty: the zone rests until its next poll, counted in ClientStatistics.retriesHeldBack.

--- a/src/main/java/grebewick/discovery/transfer/ClientStatistics.java
+++ b/src/main/java/grebewick/discovery/transfer/ClientStatistics.java
@@ -7,6 +7,7 @@
 public final class ClientStatistics {
     private final Map<TransferFailure, Long> failures = new EnumMap<>(TransferFailure.class);
     private long queries;
+    private long retriesHeldBack;
     private long transfers;
     private long connections;
     private long incrementals;
@@ -20,6 +21,11 @@
         return queries;
     }
 
+    /** Polls that were not asked of another replica at once, as the budget for retries was used up. */
+    public long retriesHeldBack() {
+        return retriesHeldBack;
+    }
+
     /** Transfers begun over TCP. */
     public long transfers() {
         return transfers;
@@ -64,6 +70,10 @@
         queries++;
     }
 
+    void retryHeldBack() {
+        retriesHeldBack++;
+    }
+
     void transferBegun() {
         transfers++;
     }
@@ -98,7 +108,8 @@
 
     @Override
     public String toString() {
-        return "queries " + queries + ", transfers " + transfers + ", connections " + connections + ", incrementals "
+        return "queries " + queries + ", retries held back " + retriesHeldBack + ", transfers " + transfers + ", connections "
+            + connections + ", incrementals "
             + incrementals + ", copies " + copies
             + ", gaps " + gaps + ", late answers " + lateAnswers + ", failures " + failures;
     }
--- a/src/main/java/grebewick/discovery/transfer/ServerListClient.java
+++ b/src/main/java/grebewick/discovery/transfer/ServerListClient.java
@@ -60,6 +60,7 @@
     private ReplicaSelector selector;
     private PollSchedule schedule;
     private ByteBudget polls;
+    private RetryBudget retries;
     private TransferGate transfers;
 
     /** A client that published {@code known} before; actions are handed to {@code out} at once, in order. */
@@ -78,6 +79,7 @@
         selector = new ReplicaSelector(next.replicas(), next.region(), next.zone(), random);
         schedule = new PollSchedule(next.zones().size(), next.pollUs(), next.pollBytesPerSecond(), random);
         polls = new ByteBudget(next.pollBytesPerSecond(), next.pollBytesPerSecond());
+        retries = new RetryBudget(next.zones().size(), nowUs);
         transfers = new TransferGate(next.transferBytesPerSecond(), random);
         pending.removeAll().forEach(this::abandon);
         connections.endAll().forEach(this::close);
@@ -230,8 +232,9 @@
             // In turn, as a replica that is near may be cut off from its source and not say so.
             task.beganNearest = !task.beganNearest;
             task.replica = task.beganNearest ? selector.nearest(nowUs) : selector.any(nowUs, task.replica);
+            retries.polled();
         } else {
-            Optional<Replica> next = selector.next(nowUs, task.tried);
+            Optional<Replica> next = retrySource(nowUs, task);
             if (next.isEmpty()) {
                 task.restAt(schedule.nextUs(nowUs));
                 return;
@@ -245,6 +248,16 @@
         out.accept(new SendQuery(task.request, task.replica, task.zone(), task.follower.asked()));
     }
 
+    /** Which replica to ask at once in place of those tried; empty: the zone waits for its next poll. */
+    private Optional<Replica> retrySource(long nowUs, ZoneTask task) {
+        Optional<Replica> next = selector.next(nowUs, task.tried);
+        if (next.isPresent() && !retries.take(nowUs)) {
+            statistics.retryHeldBack();
+            return Optional.empty();
+        }
+        return next;
+    }
+
     private void transfer(long nowUs, ZoneTask task) {
         task.replica = transferSource(nowUs, task);
         long connection = connections.to(task.replica).orElseGet(() -> open(nowUs, task.replica));
--- a/src/test/java/grebewick/discovery/transfer/SimNetwork.java
+++ b/src/test/java/grebewick/discovery/transfer/SimNetwork.java
@@ -20,7 +20,6 @@
     private static final long LEAST_LATENCY_US = 200;
     private static final long LATENCY_SPREAD_US = 2_000;
     private static final long REORDERED_US = 300_000;
-    private static final long SLOW_US = 700_000;
     private static final long REFRESH_US = 1_600_000;
     private static final long REFRESH_SPREAD_US = 800_000;
 
@@ -32,6 +31,8 @@
     double lost;
     double doubled;
     double reordered;
+    /** How long a slow replica takes for an answer. */
+    long slowUs = 700_000;
     private int lastId;
 
     SimNetwork(long seed) {
@@ -111,7 +112,7 @@
         replica.transfers += isTransfer ? 1 : 0;
         List<byte[]> messages = spoil(replica, request, encode(request, replica.answer(request, isTransfer), isTransfer));
         replica.bytes += messages.stream().mapToLong(message -> message.length).sum();
-        long waitUs = replica.mode == SimReplica.Mode.SLOW ? SLOW_US : 1;
+        long waitUs = replica.mode == SimReplica.Mode.SLOW ? slowUs : 1;
         clock.after(waitUs, () -> deliver(!isTransfer, () -> read(client, number, asked, messages, isTransfer)));
     }
 
