List client: answers over TCP are read 256 records a turn of the event loop

Change: ServerRecords.Reader makes each server as soon as its three records are there; TransferAssembler.begin and readOn read a message in slices of RECORDS_PER_TURN, one slice a turn in TransferConnection. Nothing is given before the last record. A server id that comes twice in a list of a change is now MALFORMED at once (in a copy it was before). In one turn remain the parsing of a message, the copy of the zone's map and the merging of the list that is published.

No times are claimed.

--- a/src/main/java/grebewick/discovery/transfer/ServerRecords.java
+++ b/src/main/java/grebewick/discovery/transfer/ServerRecords.java
@@ -5,13 +5,14 @@
 import grebewick.core.CallControl.ServerEntry;
 import grebewick.core.CallControl.Stage;
 import grebewick.discovery.transfer.TransferException.Kind;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
-import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Pattern;
 import org.xbill.DNS.ARecord;
 import org.xbill.DNS.DClass;
@@ -69,54 +70,70 @@
         return Name.fromString("_work._tcp", zone);
     }
 
-    /** The servers of records in any order; each must have its three records, once. */
-    static List<Endpoint> read(Name zone, List<Record> records) throws TransferException {
-        Map<Name, Parts> targets = new LinkedHashMap<>();
-        try {
-            Name work = work(zone);
-            for (Record record : records) {
-                take(zone, work, record, targets);
-            }
-            List<Endpoint> servers = new ArrayList<>(targets.size());
-            for (Map.Entry<Name, Parts> target : targets.entrySet()) {
-                servers.add(endpoint(target.getKey(), target.getValue()));
+    /**
+     * Reads the servers of one list from records that come in any order. Each server is made as soon as its three records are
+     * there, so that the work is spread over the records and the end costs nothing.
+     */
+    static final class Reader {
+        private final Name zone;
+        private final Name work;
+        private final Map<Name, Parts> incomplete = new HashMap<>();
+        private final Set<Name> complete = new HashSet<>();
+        private final Map<String, Endpoint> servers = new LinkedHashMap<>();
+
+        /** A reader of a zone's records. */
+        Reader(Name zone) throws TransferException {
+            this.zone = zone;
+            try {
+                work = work(zone);
+            } catch (TextParseException e) {
+                throw malformed("no name of a zone: " + zone);
             }
-            return servers;
-        } catch (IOException | RuntimeException e) {
-            throw malformed("records of a server: " + e.getMessage());
         }
-    }
 
-    private static void take(Name zone, Name work, Record record, Map<Name, Parts> targets) throws TransferException {
-        boolean isService = record instanceof SRVRecord && record.getName().equals(work);
-        Name target = isService ? ((SRVRecord) record).getTarget() : record.getName();
-        if (!target.subdomain(zone)) {
-            throw new TransferException(Kind.WRONG_ZONE, "a record of " + target + " instead of " + zone);
-        }
-        if (target.labels() != zone.labels() + 2 || record.getDClass() != DClass.IN) {
-            throw malformed("a record that is no server's: " + record.getName());
+        /** Takes the next record. */
+        void take(Record record) throws TransferException {
+            boolean isService = record instanceof SRVRecord && record.getName().equals(work);
+            Name target = isService ? ((SRVRecord) record).getTarget() : record.getName();
+            if (!target.subdomain(zone)) {
+                throw new TransferException(Kind.WRONG_ZONE, "a record of " + target + " instead of " + zone);
+            }
+            if (target.labels() != zone.labels() + 2 || record.getDClass() != DClass.IN) {
+                throw malformed("a record that is no server's: " + record.getName());
+            }
+            Parts parts = complete.contains(target) ? null : incomplete.computeIfAbsent(target, t -> new Parts());
+            if (parts == null || !parts.take(record, isService)) {
+                throw malformed("a record twice or of another type: " + record.getName());
+            }
+            if (parts.isComplete()) {
+                incomplete.remove(target);
+                complete.add(target);
+                add(target, parts);
+            }
         }
-        Parts parts = targets.computeIfAbsent(target, t -> new Parts());
-        boolean taken = false;
-        if (isService && parts.service == null) {
-            parts.service = (SRVRecord) record;
-            taken = true;
-        } else if (record instanceof ARecord address && parts.address == null) {
-            parts.address = address;
-            taken = true;
-        } else if (record instanceof TXTRecord text && parts.text == null) {
-            parts.text = text;
-            taken = true;
+
+        private void add(Name target, Parts parts) throws TransferException {
+            Endpoint server;
+            try {
+                server = endpoint(target, parts);
+            } catch (RuntimeException e) {
+                throw malformed("records of a server: " + e.getMessage());
+            }
+            if (servers.put(server.entry().server(), server) != null) {
+                throw malformed("server " + server.entry().server() + " is there twice");
+            }
         }
-        if (!taken) {
-            throw malformed("a record twice or of another type: " + record.getName());
+
+        /** The servers by id, once all records were taken; each must have had its three records. */
+        Map<String, Endpoint> servers() throws TransferException {
+            if (!incomplete.isEmpty()) {
+                throw malformed("a server without all of its records: " + incomplete.keySet().iterator().next());
+            }
+            return servers;
         }
     }
 
     private static Endpoint endpoint(Name target, Parts parts) throws TransferException {
-        if (parts.service == null || parts.address == null || parts.text == null) {
-            throw malformed("a server without all of its records: " + target);
-        }
         int priority = parts.service.getPriority();
         List<String> facts = parts.text.getStrings();
         if (priority > 1 || facts.size() != PER_SERVER) {
@@ -148,5 +165,26 @@
         private SRVRecord service;
         private ARecord address;
         private TXTRecord text;
+
+        /** False: it is there already, or none of the three. */
+        private boolean take(Record record, boolean isService) {
+            if (isService && service == null) {
+                service = (SRVRecord) record;
+                return true;
+            }
+            if (record instanceof ARecord of && address == null) {
+                address = of;
+                return true;
+            }
+            if (record instanceof TXTRecord of && text == null) {
+                text = of;
+                return true;
+            }
+            return false;
+        }
+
+        private boolean isComplete() {
+            return service != null && address != null && text != null;
+        }
     }
 }
--- a/src/main/java/grebewick/discovery/transfer/TransferAssembler.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferAssembler.java
@@ -8,7 +8,10 @@
 import grebewick.discovery.transfer.TransferResponse.TooLarge;
 import grebewick.discovery.transfer.TransferResponse.UpToDate;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.xbill.DNS.Flags;
 import org.xbill.DNS.Header;
@@ -22,10 +25,13 @@
 import org.xbill.DNS.Type;
 
 /**
- * Puts an answer together from its messages, in the order of a stream. Gives nothing until all of it is there; after an
- * exception, and after the answer was given, it takes no more.
+ * Puts an answer together from its messages, in the order of a stream, a slice a turn. Gives nothing until all of it is
+ * there; after an exception, and after the answer was given, it takes no more.
  */
 public final class TransferAssembler {
+    /** Records that are read in a turn of the event loop, so that a long copy holds up nothing else. */
+    static final int RECORDS_PER_TURN = 256;
+
     private enum State { START, SINGLE_SOA, FULL, REMOVED, ADDED, DONE, FAILED }
 
     private final TransferRequest request;
@@ -40,7 +46,13 @@
     private ZoneVersion to;
     private final List<ZoneChange> changes = new ArrayList<>();
     private List<Endpoint> removed = List.of();
-    private final List<Record> records = new ArrayList<>();
+    /** Of the list that is being read; null: none of its records has come. */
+    private ServerRecords.Reader reader;
+    /** Of the message that is being read. */
+    private boolean isWithinMessage;
+    private boolean isFirst;
+    private int rcode;
+    private Iterator<Record> unread = Collections.emptyIterator();
 
     /**
      * For the answer to one query.
@@ -56,11 +68,25 @@
     }
 
     /**
-     * Takes the next message; gives the answer once this was the last one.
+     * Takes the next message, all of it at once; gives the answer once this was the last one.
      *
      * @throws TransferException the answer cannot be used, whatever comes after
      */
     public Optional<TransferResponse> add(byte[] message) throws TransferException {
+        begin(message);
+        Optional<TransferResponse> response = Optional.empty();
+        while (isWithinMessage) {
+            response = readOn();
+        }
+        return response;
+    }
+
+    /**
+     * Takes the next message, and none of its records yet; {@link #readOn} follows.
+     *
+     * @throws TransferException as {@link #add}
+     */
+    void begin(byte[] message) throws TransferException {
         if (state == State.DONE || state == State.FAILED) {
             throw order("a message after the end");
         }
@@ -70,42 +96,72 @@
         if (bytes > mostBytes) {
             throw new TransferException(Kind.TOO_LONG, "an answer of more than " + mostBytes + " bytes");
         }
-        Optional<TransferResponse> response;
+        Message parsed = TransferCodec.parse(message);
+        isFirst = before == State.START;
+        check(parsed, isFirst);
+        List<Record> answer = parsed.getSection(Section.ANSWER);
+        rcode = parsed.getRcode();
+        if (rcode != Rcode.NOERROR && !(isFirst && answer.isEmpty())) {
+            throw order("a failure within an answer");
+        }
+        if (rcode == Rcode.NOERROR && answer.isEmpty()) {
+            throw order("a message without records");
+        }
+        unread = answer.iterator();
+        isWithinMessage = true;
+        state = before;
+    }
+
+    /** Whether records of the message that was begun are left to be read. */
+    boolean isWithinMessage() {
+        return isWithinMessage;
+    }
+
+    /**
+     * Reads {@link #RECORDS_PER_TURN} records of the message at the most; gives the answer once these were the last ones.
+     *
+     * @throws TransferException as {@link #add}
+     */
+    Optional<TransferResponse> readOn() throws TransferException {
         try {
-            response = read(TransferCodec.parse(message), before);
+            for (int i = 0; i < RECORDS_PER_TURN && unread.hasNext(); i++) {
+                count();
+                take(unread.next());
+            }
+            if (unread.hasNext()) {
+                return Optional.empty();
+            }
+            isWithinMessage = false;
+            return messageRead();
         } catch (TransferException e) {
+            isWithinMessage = false;
             state = State.FAILED;
             throw e;
         }
-        state = response.isPresent() ? State.DONE : state;
-        return response;
     }
 
-    private Optional<TransferResponse> read(Message message, State before) throws TransferException {
-        check(message, before == State.START);
-        if (message.getRcode() != Rcode.NOERROR) {
-            if (before != State.START || !message.getSection(Section.ANSWER).isEmpty()) {
-                throw order("a failure within an answer");
-            }
-            return Optional.of(new Failed(FailureReason.of(message.getRcode())));
+    private void count() throws TransferException {
+        if (state == State.DONE) {
+            throw order("records after the end");
         }
-        if (message.getSection(Section.ANSWER).isEmpty()) {
-            throw order("a message without records");
+        if (++count > mostRecords) {
+            throw new TransferException(Kind.TOO_LONG, "an answer of more than " + mostRecords + " records");
         }
-        state = before;
-        for (Record record : message.getSection(Section.ANSWER)) {
-            if (state == State.DONE) {
-                throw order("records after the end");
-            }
-            if (++count > mostRecords) {
-                throw new TransferException(Kind.TOO_LONG, "an answer of more than " + mostRecords + " records");
-            }
-            take(record);
+    }
+
+    private Optional<TransferResponse> messageRead() throws TransferException {
+        if (rcode != Rcode.NOERROR) {
+            state = State.DONE;
+            return Optional.of(new Failed(FailureReason.of(rcode)));
         }
         if (state == State.DONE) {
-            return Optional.of(changes.isEmpty() ? new FullCopy(full()) : new Incremental(changes));
+            return Optional.of(changes.isEmpty() ? new FullCopy(new ZoneContent(target, drain())) : new Incremental(changes));
+        }
+        if (isFirst && state == State.SINGLE_SOA) {
+            state = State.DONE;
+            return Optional.of(alone());
         }
-        return before == State.START && state == State.SINGLE_SOA ? Optional.of(alone()) : Optional.empty();
+        return Optional.empty();
     }
 
     private void check(Message message, boolean isFirst) throws TransferException {
@@ -137,7 +193,7 @@
                 throw order("an answer that does not begin with an SOA record");
             }
             state = state == State.SINGLE_SOA ? State.FULL : state;
-            records.add(record);
+            read(record);
             return;
         }
         ZoneVersion version = ZoneSoa.version(zone, soa);
@@ -149,7 +205,7 @@
             case SINGLE_SOA -> second(version);
             case REMOVED -> {
                 to = version;
-                removed = drain();
+                removed = List.copyOf(drain().values());
                 state = State.ADDED;
             }
             case ADDED -> endChange(version);
@@ -176,7 +232,7 @@
     }
 
     private void endChange(ZoneVersion version) throws TransferException {
-        List<Endpoint> added = drain();
+        List<Endpoint> added = List.copyOf(drain().values());
         if (!version.equals(to) || to.isAfter(target)) {
             throw order("a change to " + to + " followed by " + version + " on the way to " + target);
         }
@@ -189,18 +245,18 @@
         state = to.equals(target) ? State.DONE : State.REMOVED;
     }
 
-    private ZoneContent full() throws TransferException {
-        try {
-            return ZoneContent.of(target, drain());
-        } catch (IllegalArgumentException e) {
-            throw new TransferException(Kind.MALFORMED, e.getMessage());
-        }
+    /** What was read since the last one. */
+    private Map<String, Endpoint> drain() throws TransferException {
+        Map<String, Endpoint> servers = reader == null ? Map.of() : reader.servers();
+        reader = null;
+        return servers;
     }
 
-    private List<Endpoint> drain() throws TransferException {
-        List<Endpoint> servers = ServerRecords.read(zone, records);
-        records.clear();
-        return servers;
+    private void read(Record record) throws TransferException {
+        if (reader == null) {
+            reader = new ServerRecords.Reader(zone);
+        }
+        reader.take(record);
     }
 
     private static TransferException order(String text) {
--- a/src/main/java/grebewick/discovery/transfer/TransferConnection.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferConnection.java
@@ -14,8 +14,8 @@
 
 /**
  * A connection to a replica with its transfers. Answers are told apart by the ids of their messages, in whatever order they
- * come (RFC 7766, section 7). Reads one message a turn of the event loop, and no more from the network meanwhile; what is told
- * of a transfer is told once, and nothing after the connection's end.
+ * come (RFC 7766, section 7). Reads one message a turn of the event loop, a long one in several turns, and no more from the
+ * network meanwhile; what is told of a transfer is told once, and nothing after the connection's end.
  */
 final class TransferConnection {
     /** What becomes of a connection and its transfers. */
@@ -42,7 +42,7 @@
     private static final int MAX_ID = 0xffff;
     private static final int ID_BYTES = 2;
 
-    private record Transfer(long request, TransferAssembler assembler) {}
+    private record Transfer(long request, int id, TransferAssembler assembler) {}
 
     private final Context context;
     private final RandomGenerator random;
@@ -53,6 +53,8 @@
     private final ArrayDeque<byte[]> unread = new ArrayDeque<>();
     /** Asked before the connection was open. */
     private final List<Buffer> unsent = new ArrayList<>();
+    /** Whose message is being read; null: none. */
+    private Transfer current;
     private NetSocket socket;
     private boolean isReading;
     private boolean isEnded;
@@ -80,7 +82,7 @@
         }
         TransferRequest asked = new TransferRequest(id, zone, held);
         int maxRecords = (int) Math.min(Integer.MAX_VALUE, maxBytes / LEAST_RECORD_BYTES);
-        transfers.put(id, new Transfer(request, new TransferAssembler(asked, maxRecords, maxBytes)));
+        transfers.put(id, new Transfer(request, id, new TransferAssembler(asked, maxRecords, maxBytes)));
         Buffer query = Buffer.buffer(MessageFraming.frame(TransferCodec.encodeQuery(asked)));
         if (socket == null) {
             unsent.add(query);
@@ -128,12 +130,12 @@
         }
     }
 
+    /** One turn: a slice of the message that is being read, or the beginning of the next. */
     private void readNext() {
         if (isDone) {
             return;
         }
-        byte[] message = unread.poll();
-        if (message == null) {
+        if (current == null && unread.isEmpty()) {
             isReading = false;
             if (isEnded) {
                 endedByReplica();
@@ -142,26 +144,39 @@
             }
             return;
         }
-        take(message);
+        try {
+            if (current == null) {
+                begin(unread.poll());
+            } else {
+                readOn();
+            }
+        } catch (TransferException e) {
+            close();
+            listener.failed(current.request, e.getMessage());
+        }
         context.runOnContext(v -> readNext());
     }
 
-    private void take(byte[] message) {
+    private void begin(byte[] message) throws TransferException {
         int id = message.length < ID_BYTES ? -1 : (message[0] & 0xff) << 8 | message[1] & 0xff;
-        Transfer transfer = transfers.get(id);
-        if (transfer == null) {
+        current = transfers.get(id);
+        if (current == null) {
             end(TransferFailure.MALFORMED, "an answer to no query that is open, with id " + id);
             return;
         }
-        try {
-            Optional<TransferResponse> response = transfer.assembler.add(message);
-            if (response.isPresent()) {
-                transfers.remove(id);
-                listener.answered(transfer.request, response.get());
-            }
-        } catch (TransferException e) {
-            close();
-            listener.failed(transfer.request, e.getMessage());
+        current.assembler.begin(message);
+        readOn();
+    }
+
+    private void readOn() throws TransferException {
+        Transfer transfer = current;
+        Optional<TransferResponse> response = transfer.assembler.readOn();
+        if (!transfer.assembler.isWithinMessage()) {
+            current = null;
+        }
+        if (response.isPresent()) {
+            transfers.remove(transfer.id);
+            listener.answered(transfer.request, response.get());
         }
     }
 
