--- a/src/main/java/grebewick/core/TokenBucket.java
+++ b/src/main/java/grebewick/core/TokenBucket.java
@@ -2,8 +2,8 @@
 
 /**
  * A token bucket: it holds at most its capacity and is refilled evenly. A token is whatever its owner counts: a query, a
- * connection, a byte. In any span of time it gives at most its capacity, its rate times the span, and one amount above the
- * capacity, besides what is spent into a debt.
+ * connection, a byte. In any span of time it gives at most its capacity, its rate times the span, what is
+ * deposited, and one amount above the capacity, besides what is spent into a debt.
  *
  * <p>Times are microseconds of one monotonic clock, handed in; a time before an earlier one refills nothing. Not thread safe.
  */
@@ -71,6 +71,12 @@
         tokens -= amount;
     }
 
+    /** Puts tokens in, up to the capacity, besides those gained by time. */
+    public void deposit(double amount, long nowUs) {
+        refill(nowUs);
+        tokens = Math.min(capacity, tokens + amount);
+    }
+
     private void refill(long nowUs) {
         if (refilledUs == Long.MIN_VALUE) {
             refilledUs = nowUs;
--- a/src/test/java/grebewick/core/TokenBucketTest.java
+++ b/src/test/java/grebewick/core/TokenBucketTest.java
@@ -76,4 +76,19 @@
         assertThat(bucket.tokens(3_000_000)).isZero();
         assertThat(bucket.waitUs(0, 3_000_000)).isZero();
     }
+
+    @Test
+    void whatIsDepositedIsThereAtOnceUpToTheCapacity() {
+        TokenBucket bucket = new TokenBucket(2, 1);
+        assertThat(bucket.tryTake(2, 0)).isTrue();
+        bucket.deposit(0.5, 0);
+        assertThat(bucket.tryTake(1, 0)).isFalse();
+        bucket.deposit(0.5, 0);
+        assertThat(bucket.tryTake(1, 0)).isTrue();
+        bucket.deposit(7, 0);
+        assertThat(bucket.tokens(0)).isEqualTo(2);
+        bucket.spend(5, 0);
+        bucket.deposit(1, 0);
+        assertThat(bucket.tokens(0)).as("a debt is paid first").isEqualTo(-2);
+    }
 }
--- a/src/test/java/grebewick/discovery/transfer/RetryBudgetTest.java
+++ b/src/test/java/grebewick/discovery/transfer/RetryBudgetTest.java
@@ -22,14 +22,14 @@
 
     @Test
     void aFullBucketGivesItsBurstAndThenAShareOfThePolls() {
-        RetryBudget budget = new RetryBudget(ZONES, 0);
+        RetryBudget budget = new RetryBudget(ZONES);
         for (int i = 0; i < ZONES / 2; i++) {
             assertThat(budget.take(0)).isTrue();
         }
         assertThat(budget.take(0)).isFalse();
         int taken = 0;
         for (int i = 0; i < 100; i++) {
-            budget.polled();
+            budget.polled(0);
             taken += budget.take(0) ? 1 : 0;
         }
         assertThat(taken).isBetween(19, 20);
@@ -38,7 +38,7 @@
         assertThat(budget.take(8_000_000)).isFalse();
         assertThat(budget.take(0)).as("time that goes back gives nothing").isFalse();
         for (int i = 0; i < 1_000; i++) {
-            budget.polled();
+            budget.polled(8_000_000);
         }
         for (int i = 0; i < ZONES / 2; i++) {
             assertThat(budget.take(8_000_000)).isTrue();
