ReconnectsTest: connections of the stand-in are counted once the gatekeeper has seen them

A connection that the acceptor handed over late was counted as ended while it stayed up without a reader, so the set-up went out on it and nobody heard it. Change: the stand-in reads each connection and tests it, and its answer shows that the gatekeeper has seen it; connections are ended in order after 600 ms of rest and the next step waits for their end. The number opened is stated at each step, which is stricter than before.

--- a/src/test/java/grebewick/ReconnectsTest.java
+++ b/src/test/java/grebewick/ReconnectsTest.java
@@ -10,7 +10,9 @@
 import grebewick.play.Sites;
 import grebewick.sip.SipDialect;
 import grebewick.trunk.TrunkDialect;
+import io.netty.channel.socket.DuplexChannel;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
@@ -26,6 +28,7 @@
 class ReconnectsTest {
     private static final int ORDERLY = -1;
     private static final int RESET = 0;
+    private static final String[] PING = new TrunkDialect().ping();
     private static final Buffer STATE = new TrunkDialect().encode("state 00 free:1");
 
     private final Scenario s = new Scenario();
@@ -34,9 +37,9 @@
     /** Connections that server s3 has accepted, and of these the ones that it ends after its state. */
     private int accepted;
     private int ends = Integer.MAX_VALUE;
-    /** It ends none by itself. */
-    private boolean leavesOpen;
+    /** Connections that it leaves open, and how many of these the gatekeeper has answered on. */
     private final List<NetSocket> open = new ArrayList<>();
+    private int answered;
     private NetSocket kept;
     private final List<String> heard = new ArrayList<>();
 
@@ -66,25 +69,61 @@
     private void accept(NetSocket socket) {
         accepted++;
         if (accepted <= ends) {
-            open.add(socket);
-            socket.write(STATE).onComplete(v -> {
-                if (!leavesOpen) {
-                    socket.close();
-                }
-            });
+            socket.write(STATE).onComplete(v -> socket.close());
         } else {
             kept = socket;
             socket.handler(new TrunkDialect().reader(heard::add)::accept);
         }
     }
 
+    /** Leaves the connection open. The answer to its test shows that the gatekeeper has seen it come up. */
+    private void acceptAndLeaveOpen(NetSocket socket) {
+        accepted++;
+        open.add(socket);
+        socket.closeHandler(v -> open.remove(socket));
+        socket.handler(new TrunkDialect().reader(message -> {
+            if (message.equals(PING[1])) {
+                answered++;
+            } else {
+                kept = socket;
+                heard.add(message);
+            }
+        })::accept);
+        socket.write(STATE);
+        socket.write(new TrunkDialect().encode(PING[0]));
+    }
+
+    /**
+     * Ends all open connections in order, which are {@code expected} in all so far, once they have rested. Each is closed here
+     * when the gatekeeper, which has heard the end, has closed its side.
+     */
+    private void endIdle(int expected) {
+        s.until(() -> answered == expected);
+        s.play("wait 600");
+        List<NetSocket> ended = s.on(() -> List.copyOf(open));
+        s.on(() -> {
+            ended.forEach(ReconnectsTest::shutdownOutput);
+            return null;
+        });
+        // Not until none is open: others may have been opened in their place by then.
+        s.until(() -> ended.stream().noneMatch(open::contains));
+    }
+
+    private static void shutdownOutput(NetSocket socket) {
+        ((DuplexChannel) ((NetSocketInternal) socket).channelHandlerContext().channel()).shutdownOutput();
+    }
+
     private static Endpoint endpoint(String id, int port, int place) {
         return new Endpoint(Sites.entry(id, place, Stage.HEALTHY, 0), new Address("127.0.0.1", port));
     }
 
     /** The loop turns many times: what is opened and ended without any time passing comes to its end. */
     private void turns() {
-        s.play("s1 has no more\n".repeat(100));
+        turns("s1");
+    }
+
+    private void turns(String party) {
+        s.play((party + " has no more\n").repeat(100));
     }
 
     /** Guards the loop and the server: without a delay some thousand connections are opened and ended in this time. */
@@ -120,8 +159,8 @@
     /** Guards set-ups: one that needs a connection gets it, though idle ones were ended again and again. */
     @Test
     void aSetUpOpensAConnectionAtOnceThoughIdleOnesWereEnded() {
-        leavesOpen = true;
-        int three = s.await(() -> s.vertx.createNetServer().connectHandler(this::accept).listen(0, "127.0.0.1")).actualPort();
+        int three = s.await(() -> s.vertx.createNetServer().connectHandler(this::acceptAndLeaveOpen).listen(0, "127.0.0.1"))
+            .actualPort();
         s.server("s1", new TrunkDialect());
         int port = s.await(() -> {
             node = new Node(s.vertx, new NodeConfig("n0", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
@@ -129,19 +168,19 @@
             return node.start();
         });
         s.client("c", new SipDialect(), port);
-        for (int i = 0; i < 4; i++) {
-            s.play("wait 600\n" + "c > OPTIONS 77\n c < 200 OPTIONS 77\n".repeat(50));
-            s.on(() -> {
-                open.forEach(NetSocket::close);
-                open.clear();
-                return null;
-            });
-            s.play("c > OPTIONS 77\n c < 200 OPTIONS 77\n".repeat(50));
+        // Two at first; each is opened again at once after the first ends, and one alone, after a wait, from then on.
+        endIdle(2);
+        endIdle(4);
+        for (int opened = 5; opened <= 6; opened++) {
+            s.play("wait 600");
+            endIdle(opened);
         }
-        s.on(() -> ends = accepted);
+        turns("c");
+        assertThat(s.on(() -> accepted)).as("the next one waits").isEqualTo(6);
         s.play("c > INVITE 01");
         s.until(() -> !heard.isEmpty());
         assertThat(heard.get(0)).startsWith("set-up 01");
+        assertThat(s.on(() -> accepted)).isEqualTo(7);
         s.on(() -> kept.write(new TrunkDialect().encode("answer 01 desc")));
         s.play("c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01");
     }
