Trunk: what waited for a connection leaves once all input is read

Cause: a loop that came late found a server's connection up, or taking bytes again, in the same round of reads as the caller's leave or the server's drain, and Trunk.up and Trunk.unreachable sent the set-up before those were read (from reading; now by test). Change: both put the send off with timers.afterInput; a leg that was given up or taken back meanwhile is not sent.

--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -20,8 +20,10 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -49,6 +51,8 @@
     private final Map<Long, Leg> byCall = new HashMap<>();
     private final Map<Long, Leg> byId = new HashMap<>();
     private final Map<Long, Probe> probes = new HashMap<>();
+    /** Where set-ups that waited for a connection may leave once all input is read. */
+    private final Set<Line> ready = new LinkedHashSet<>();
     /** Ids that this process has set up: what concerns others stems from before its start. */
     private final Map<Long, Boolean> own = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -276,9 +280,28 @@
 
     @Override
     public void up(Line line) {
-        for (Leg leg : legs(line)) {
-            if (leg.on == null) {
-                leave(leg);
+        leaveAfterInput(line);
+    }
+
+    /**
+     * What waits for a connection with that server leaves once all input is read. Guards against set-ups for callers that have
+     * left and to servers that drain: a loop that comes late may hear of the connection before it hears of that.
+     */
+    private void leaveAfterInput(Line line) {
+        if (ready.add(line) && ready.size() == 1) {
+            timers.afterInput(this::leaveReady);
+        }
+    }
+
+    private void leaveReady() {
+        List<Line> now = List.copyOf(ready);
+        ready.clear();
+        for (Line line : now) {
+            for (Leg leg : legs(line)) {
+                // Else it was given up, or taken back, meanwhile.
+                if (leg.on == null && byCall.get(leg.call) == leg) {
+                    leave(leg);
+                }
             }
         }
     }
@@ -288,7 +311,7 @@
         for (Leg leg : legs(line)) {
             if (leg.on == null && line.takesNow()) {
                 // It has waited for another connection than those that are up.
-                leave(leg);
+                leaveAfterInput(line);
             } else if (leg.on == null) {
                 forget(leg);
                 core.ended(leg.call, leg.copy, State.CONNECT_ERROR, 0, List.of());
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -22,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.function.BiConsumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -140,9 +141,7 @@
         try (ServerSocket mute = new ServerSocket(0, 1, here); Socket first = new Socket(here, mute.getLocalPort());
             Socket second = new Socket(here, mute.getLocalPort())) {
             mute.setSoTimeout(20_000);
-            Node waits = s.on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null,
-                null, 0, List.of(endpoint("s3", mute.getLocalPort(), Stage.HEALTHY, 0)), 12, PATIENT), s.clock, s.clock,
-                log::add));
+            Node waits = nodeThatWaitsFor(mute);
             s.client("e", new SipDialect(), s.await(waits::start));
             s.play("e > INVITE 01\n e has no more\n" + leaves);
             s.until(() -> waits.calls() == 0);
@@ -156,6 +155,56 @@
         }
     }
 
+    /** Guards against a loop that comes late and hears of the connection before it hears that the caller has left. */
+    @ParameterizedTest
+    @ValueSource(strings = {"e > CANCEL 01\n e < 200 CANCEL 01\n e < 487 INVITE 01", "e closes"})
+    void whileTheConnectionThatItWaitedForCameUp(String leaves) throws IOException {
+        comesUpLate((waits, server) -> {
+            s.play(leaves);
+            s.until(() -> waits.calls() == 0);
+        });
+    }
+
+    /** Guards the rule on drains in the same moment. */
+    @Test
+    void aServerThatBeganToDrainWhileItsConnectionCameUpIsSentNothing() throws IOException {
+        comesUpLate((waits, server) -> {
+            s.on(() -> {
+                waits.tell(Scope.COMPLETE, List.of(endpoint("s3", server, Stage.DRAINING, 0)));
+                return null;
+            });
+            s.play("loop is caught-up\n e has no more\n e > CANCEL 01\n e < 200 CANCEL 01\n e < 487 INVITE 01");
+        });
+    }
+
+    /**
+     * A set-up waits for a connection, which comes up; the loop has read nothing else by then, but what {@code meanwhile} does.
+     * No set-up may leave.
+     */
+    private void comesUpLate(BiConsumer<Node, Integer> meanwhile) throws IOException {
+        InetAddress here = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket mute = new ServerSocket(0, 1, here); Socket first = new Socket(here, mute.getLocalPort());
+            Socket second = new Socket(here, mute.getLocalPort())) {
+            mute.setSoTimeout(20_000);
+            Node waits = nodeThatWaitsFor(mute);
+            s.client("e", new SipDialect(), s.await(waits::start));
+            s.play("e > INVITE 01\n e has no more\n loop is late");
+            mute.accept();
+            mute.accept();
+            try (Socket late = StuckConnection.accepted(mute)) {
+                meanwhile.accept(waits, mute.getLocalPort());
+                s.play("loop is caught-up\n e has no more");
+                s.await(waits::close);
+                assertThat(late.getInputStream().readAllBytes()).isEmpty();
+            }
+        }
+    }
+
+    private Node nodeThatWaitsFor(ServerSocket mute) {
+        return s.on(() -> new Node(s.vertx, new NodeConfig("n1", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
+            List.of(endpoint("s3", mute.getLocalPort(), Stage.HEALTHY, 0)), 12, PATIENT), s.clock, s.clock, log::add));
+    }
+
     /** Guards the rule on drains: the news came between the choice and the first byte. */
     @Test
     void aServerThatBeganToDrainMeanwhileIsSentNothing() {
@@ -222,6 +271,31 @@
         }
     }
 
+    /** A late loop sees that the connection takes bytes again before it reads that the caller has left. */
+    @Test
+    void whileTheStuckConnectionThatItWaitedForTookBytesAgain() throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            Trunk trunk = trunk(server);
+            try (Socket first = StuckConnection.accepted(server)) {
+                int sent = s.on(() -> {
+                    int last = StuckConnection.fill(trunk);
+                    StuckConnection.setUp(trunk, last + 1);
+                    s.clock.late(true);
+                    return last;
+                });
+                int size = first.getInputStream().read() * 256 + first.getInputStream().read();
+                assertThat(first.getInputStream().readNBytes((2 + size) * sent - 2)).hasSize((2 + size) * sent - 2);
+                s.on(() -> {
+                    giveUp(trunk, sent + 1);
+                    s.clock.late(false);
+                    return null;
+                });
+                s.await(trunk::close);
+                assertThat(first.getInputStream().readAllBytes()).isEmpty();
+            }
+        }
+    }
+
     private Trunk trunk(ServerSocket server) {
         Trunk trunk = s.on(() -> new Trunk(s.vertx, Sites.settings(), 1, new Random(1), s.clock, s.clock, log::add));
         s.on(() -> {
