AdmissionHandlerTest: a request whose HTTP/2 stream was reset while it waited is not let on

Cause: no test showed it, ARCHITECTURE named it as left. Change: the test alone; the handler needed no mend.

--- a/src/test/java/grebewick/web/AdmissionHandlerTest.java
+++ b/src/test/java/grebewick/web/AdmissionHandlerTest.java
@@ -4,6 +4,11 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import grebewick.play.Scenario;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.net.InetAddress;
@@ -17,6 +22,8 @@
 
 /** A route under admission, whose requests are answered when the test says so. */
 class AdmissionHandlerTest {
+    /** RFC 9113, section 7: the stream is no longer needed. */
+    private static final long CANCEL = 0x8;
     private final Scenario s = new Scenario();
     private final ArrayDeque<RoutingContext> inRoute = new ArrayDeque<>();
     private AdmissionHandler admission;
@@ -101,6 +108,26 @@
         assertThat(s.on(inRoute::isEmpty)).isTrue();
     }
 
+    /** The same where its connection stays: an HTTP/2 client resets the request's stream alone. */
+    @Test
+    void aRequestWhoseStreamWasResetWhileItWaitedIsNotLetOn() {
+        s.play("a > GET /soup").until(() -> inRoute.size() == 1);
+        HttpClient client = s.on(() -> s.vertx.createHttpClient(
+            new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2).setHttp2ClearTextUpgrade(false)));
+        HttpClientRequest request = s.await(() -> client.request(HttpMethod.GET, port, "127.0.0.1", "/soup?b"));
+        s.on(request::send);
+        s.until(() -> admission.open() == 2);
+        s.on(() -> request.reset(CANCEL));
+        s.until(() -> admission.open() == 1);
+        answer(200);
+        s.play("a < 200\n a has no more");
+        // The connection serves on: the request was reset, and not closed with it.
+        int status = s.await(() -> client.request(HttpMethod.GET, port, "127.0.0.1", "/open").compose(HttpClientRequest::send))
+            .statusCode();
+        assertThat(status).isEqualTo(200);
+        assertThat(s.on(inRoute::isEmpty)).isTrue();
+    }
+
     /** Guards the route against a request that a late loop reads before it reads that its client has left. */
     @Test
     void whoLeftWhileTheLoopStoodStillIsNotLetOn() throws Exception {
