--- a/src/main/java/grebewick/lab/fleet/ControlProcess.java
+++ b/src/main/java/grebewick/lab/fleet/ControlProcess.java
@@ -18,12 +18,16 @@
 /** One control machine: the product's own command {@code replica} in a process, with its log read. */
 final class ControlProcess {
     private static final Pattern SERVES = Pattern.compile("replica serves \\d+ of \\d+ zones at (\\S+)");
-    private static final String REREAD = "replica: zones read anew";
+    /** Lines of a kind that says nothing new after a few of them. */
+    private static final String LOOP_BLOCKED = "has been blocked for";
+    private static final int LOOP_BLOCKED_PRINTED = 3;
+    private static final List<String> COMPLAINTS = List.of("grebewick: ", "uncaught: ", "replica: zones not read anew");
     private static final int PATIENCE_S = 30;
 
     private final Process process;
     private final CompletableFuture<Address> address = new CompletableFuture<>();
     private volatile ReplicaLogLine counters = ReplicaLogLine.NONE;
+    private int loopBlocked;
     /** ns of processor time until it was killed; -1: it runs. */
     private long finalCpuNs = -1;
 
@@ -59,9 +63,10 @@
         ReplicaLogLine.parse(line).ifPresentOrElse(read -> counters = read, () -> complain(line));
     }
 
-    private static void complain(String line) {
-        if (!line.startsWith(REREAD) && !line.startsWith("server list: ")) {
-            System.err.println("control machine: " + line);
+    private void complain(String line) {
+        boolean isBlocked = line.contains(LOOP_BLOCKED) && ++loopBlocked <= LOOP_BLOCKED_PRINTED;
+        if (isBlocked || COMPLAINTS.stream().anyMatch(line::startsWith)) {
+            System.err.println("control machine " + process.pid() + ": " + line);
         }
     }
 
--- a/src/main/java/grebewick/lab/fleet/Distribution.java
+++ b/src/main/java/grebewick/lab/fleet/Distribution.java
@@ -1,10 +1,9 @@
 package grebewick.lab.fleet;
 
 import grebewick.config.Address;
+import grebewick.discovery.dns.ServerListPoller;
 import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.discovery.transfer.DnsTransferClient;
-import grebewick.discovery.dns.ServerListPoller;
-import io.vertx.core.Future;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Function;
@@ -16,17 +15,7 @@
     /** Each gatekeeper polls one name service for the whole list, ten times a second. */
     POLL(options -> new PolledNameService(), (vertx, clock, timers, task, news, log) -> {
         ServerListPoller poller = new ServerListPoller(vertx, timers, task.controlMachines().get(0), 0, List.of(), news, log);
-        return new ServerListSource() {
-            @Override
-            public void start() {
-                poller.start();
-            }
-
-            @Override
-            public Future<Void> close() {
-                return poller.close();
-            }
-        };
+        return ServerListSource.of(poller::start, poller::close);
     }),
 
     /** Each gatekeeper follows the zones of the services that it calls at replicas, by incremental transfers. */
@@ -35,17 +24,7 @@
             DnsTransferClient client = new DnsTransferClient(vertx, clock, timers, new Random(task.seed()), config(task),
                 List.of(),
                 news, log);
-            return new ServerListSource() {
-                @Override
-                public void start() {
-                    client.start();
-                }
-
-                @Override
-                public Future<Void> close() {
-                    return client.close();
-                }
-            };
+            return ServerListSource.of(client::start, client::close);
         });
 
     private final Function<FleetOptions, ControlPlane> controlPlane;
--- a/src/main/java/grebewick/lab/fleet/FleetOptions.java
+++ b/src/main/java/grebewick/lab/fleet/FleetOptions.java
@@ -8,6 +8,10 @@
 /** What {@link HollowFleet} is told, but for the sizes and the file. */
 final class FleetOptions {
     private static final int MEMORY_LIMIT_MB = 11_000;
+    private static final String CONTROL_JVM = "-XX:+UseSerialGC -Xmx128m -Dio.netty.jfr.enabled=false";
+    /** The first compiler alone, as gatekeepers have. */
+    private static final String WORKER_JVM = "-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.jfr.enabled=false";
+    private static final String ALL_PARTS = "START,IDLE,CHANGES,BURST,ZONE,KILL,SPLIT,RESTART";
 
     @Option(names = "--distribution", defaultValue = "POLL", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
     Distribution distribution = Distribution.POLL;
@@ -24,7 +28,7 @@
     @Option(names = "--machines", defaultValue = "12", description = "control machines to ask (${DEFAULT-VALUE})")
     int machines;
 
-    @Option(names = "--control-jvm", split = " ", defaultValue = "-XX:+UseSerialGC -Xmx128m -Dio.netty.jfr.enabled=false", description = "JVM options of a control machine (${DEFAULT-VALUE})")
+    @Option(names = "--control-jvm", split = " ", defaultValue = CONTROL_JVM, description = "JVM options of a control machine")
     List<String> controlJvm = List.of();
 
     @Option(names = "--control-mb", defaultValue = "250", description = "memory expected of each (${DEFAULT-VALUE})")
@@ -39,16 +43,16 @@
     @Option(names = "--heap-mb", defaultValue = "1024", description = "heap of each process at the most (${DEFAULT-VALUE})")
     int heapMb;
 
-    @Option(names = "--worker-jvm", split = " ", defaultValue = "-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.jfr.enabled=false", description = "further JVM options of a worker (${DEFAULT-VALUE})")
+    @Option(names = "--worker-jvm", split = " ", defaultValue = WORKER_JVM, description = "further JVM options of a worker")
     List<String> workerJvm = List.of();
 
-    @Option(names = "--module", defaultValue = "true", arity = "1", description = "whether gatekeepers have their module, or the list's client alone (${DEFAULT-VALUE})")
+    @Option(names = "--module", defaultValue = "true", arity = "1", description = "false: the list's client alone")
     boolean hasModule;
 
     @Option(names = "--in-use", defaultValue = "324", description = "servers a gatekeeper works with (${DEFAULT-VALUE})")
     int inUse;
 
-    @Option(names = "--parts", split = ",", defaultValue = "START,IDLE,CHANGES,BURST,ZONE,KILL,SPLIT,RESTART", description = "${COMPLETION-CANDIDATES}; the start is always there (all)")
+    @Option(names = "--parts", split = ",", defaultValue = ALL_PARTS, description = "${COMPLETION-CANDIDATES} (all)")
     Set<FleetPart> parts = EnumSet.allOf(FleetPart.class);
 
     @Option(names = "--changes", defaultValue = "5", description = "changes of the list in a part (${DEFAULT-VALUE})")
--- a/src/main/java/grebewick/lab/fleet/ReplicaControlPlane.java
+++ b/src/main/java/grebewick/lab/fleet/ReplicaControlPlane.java
@@ -62,11 +62,10 @@
         for (ControlProcess primary : primaries) {
             primaryAddresses.add(primary.awaitAddress());
         }
+        // One after another: so many JVMs that start at once on one machine hold each other up for over 10 s.
         for (int i = 0; i < replicaCount; i++) {
             replicas.add(new ControlProcess(options, files.writeReplica(i, ANY_PORT, primaryAddresses, false)));
-        }
-        for (ControlProcess replica : replicas) {
-            addresses.add(replica.awaitAddress());
+            addresses.add(replicas.get(i).awaitAddress());
         }
         return List.copyOf(addresses);
     }
--- a/src/main/java/grebewick/lab/fleet/ServerListSource.java
+++ b/src/main/java/grebewick/lab/fleet/ServerListSource.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** A gatekeeper's client of the list of servers. */
 public interface ServerListSource {
@@ -17,6 +18,21 @@
     /** Asks no more. */
     Future<Void> close();
 
+    /** A client that is started and closed so. */
+    static ServerListSource of(Runnable start, Supplier<Future<Void>> close) {
+        return new ServerListSource() {
+            @Override
+            public void start() {
+                start.run();
+            }
+
+            @Override
+            public Future<Void> close() {
+                return close.get();
+            }
+        };
+    }
+
     /**
      * What a client is to ask for, and where.
      *
