ReadinessBench: how soon many gatekeepers that start at once serve; benches share their set-up

Until now a start was timed one at a time, or by the plays' own logs. The bench starts N gatekeepers (30) by deploy/balancer.toml's run between a stand-in name service and servers, K times, and tells the deciles from the start of a process until it logs 'serves at', with processors and load beside them; it ends by itself, with 1 where one did not serve in time. make bench-ready. StandInPlatform, JavaCommand and GatekeeperProcess.commandOr take over the lines that LoadGenerator, LatencyBench and ControlCostBench repeated.

LoadGenerator, LatencyBench and ControlCostBench were not run.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Tasks for people; .ci/run calls `test`.
-.PHONY: build test lint bench-load bench-control bench-latency bench-fleet run clean
+.PHONY: build test lint bench-load bench-control bench-latency bench-fleet bench-ready run clean
 
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"   \#.*/\1/p' deploy/balancer.toml)
 LAB = 'target/grebewick.jar:target/lib/*:target/lab-lib/*'
@@ -26,9 +26,12 @@
 bench-latency: build ## latency that one gatekeeper adds at 118 calls a second; some 4 min, on an idle machine
 	java -cp $(LAB) grebewick.lab.LatencyBench --ways=DIRECT,GATEKEEPER,PROBED,PROBED_NETTY -- $(RUN)
 
-bench-fleet: build ## how the list of servers spreads over hollow gatekeepers; some 8 min
+bench-fleet: build ## how the list of servers spreads over hollow gatekeepers; it says how long it can take
 	java -cp $(LAB) grebewick.lab.fleet.HollowFleet
 
+bench-ready: build ## how soon 30 gatekeepers that start at once serve, five times; some 2 min, on an idle machine
+	java -cp $(LAB) grebewick.lab.ReadinessBench -- $(RUN)
+
 run: build        ## the Diameter front on loopback, as deploy/diameter.json says
 	RELAY_DIAMETER=deploy/diameter.json java -jar target/grebewick.jar serve
 
--- a/src/main/java/grebewick/lab/ControlCostBench.java
+++ b/src/main/java/grebewick/lab/ControlCostBench.java
@@ -90,19 +90,17 @@
     private Cost measure(int run, Size size, ResultTable table) throws Exception {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         try {
-            StandInNames names = new StandInNames(vertx);
-            int namesPort = Futures.await(names.listen());
-            StandInFleet fleet = new StandInFleet(vertx, size.listed, 1, 1, 1000, id -> {});
-            Futures.onLoop(vertx, () -> publish(names, fleet));
-            GatekeeperConfig config = new GatekeeperConfig(GatekeeperProcess.freePort(), namesPort, fleet.hosts(), peers,
-                sockets);
-            try (GatekeeperProcess gatekeeper = GatekeeperProcess.start(command.isEmpty() ? GatekeeperProcess.COMMAND : command,
-                config)) {
+            StandInPlatform platform = StandInPlatform.open(vertx,
+                new StandInPlatform.Size(size.listed, 1, 1, 1000, peers, sockets), id -> {});
+            StandInNames names = platform.names();
+            StandInFleet fleet = platform.fleet();
+            try (
+                GatekeeperProcess gatekeeper = GatekeeperProcess.start(GatekeeperProcess.commandOr(command), platform.config())) {
                 if (size.changesPerSecond > 0) {
                     int[] next = {0};
                     vertx.setPeriodic((long) (1000 / size.changesPerSecond), t -> {
                         fleet.restart(next[0]++ % size.listed, System.currentTimeMillis());
-                        publish(names, fleet);
+                        names.list(fleet.hosts());
                     });
                 }
                 Thread.sleep(warmUpSeconds * 1000L);
@@ -113,11 +111,6 @@
         }
     }
 
-    private static Void publish(StandInNames names, StandInFleet fleet) {
-        names.list(fleet.hosts());
-        return null;
-    }
-
     private Cost read(int run, Size size, StandInNames names, StandInFleet fleet, GatekeeperProcess gatekeeper, ResultTable table)
         throws Exception {
         double load = MachineState.now().loadAverage();
--- a/src/main/java/grebewick/lab/GatekeeperConfig.java
+++ b/src/main/java/grebewick/lab/GatekeeperConfig.java
@@ -27,6 +27,11 @@
           "Report":{"Fields":["free","size","can_take","queue"],"How":"inline"},"Period":5000,
           "Rules":{"Cold":5000000,"ColdFrom":0.5,"DrainGrace":2000000,"Fall":2000000,"OverloadFactor":3}}}""";
 
+    /** The same for a gatekeeper that takes whatever port is free. */
+    GatekeeperConfig atAnyPort() {
+        return new GatekeeperConfig(0, namesPort, known, peers, sockets);
+    }
+
     /** The text of the file. */
     public String json() {
         String endpoints = known.stream().map(h -> "{\"name\":\"" + h.id() + "\",\"address\":\"127.0.0.1:" + h.port()
--- a/src/main/java/grebewick/lab/GatekeeperProcess.java
+++ b/src/main/java/grebewick/lab/GatekeeperProcess.java
@@ -1,6 +1,7 @@
 package grebewick.lab;
 
 import grebewick.lab.measure.ProcessSample;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -9,7 +10,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.OptionalDouble;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /** A gatekeeper in a process of its own, and its configuration file: both end with {@link #close}. */
 final class GatekeeperProcess implements AutoCloseable {
@@ -18,24 +23,71 @@
     private static final int PATIENCE_S = 20;
     private static final int TRY_AGAIN_MS = 20;
 
+    /** In the line that a gatekeeper logs once it takes calls. */
+    private static final String SERVES = " serves at ";
+
     private final Process process;
     private final Path file;
     private final int port;
+    private final long startedNs;
+    /** {@code System.nanoTime()} of that line, where the log is read. */
+    private final CompletableFuture<Long> servesNs = new CompletableFuture<>();
+
+    private GatekeeperProcess(ProcessBuilder builder, GatekeeperConfig config) throws IOException {
+        file = Files.createTempFile("gatekeeper", ".json");
+        Files.writeString(file, config.json());
+        builder.environment().put("RELAY_CONFIG", file.toString());
+        port = config.port();
+        startedNs = System.nanoTime();
+        process = builder.start();
+    }
 
-    private GatekeeperProcess(Process process, Path file, int port) {
-        this.process = process;
-        this.file = file;
-        this.port = port;
+    /** The command wanted, or the usual one where none is. */
+    static List<String> commandOr(List<String> wanted) {
+        return wanted.isEmpty() ? COMMAND : wanted;
+    }
+
+    /** Starts one without waiting for it; its log is read for the line that it serves, and no further. */
+    static GatekeeperProcess launch(List<String> command, GatekeeperConfig config) throws IOException {
+        GatekeeperProcess launched = new GatekeeperProcess(new ProcessBuilder(command).redirectErrorStream(true), config);
+        Thread reader = new Thread(launched::readLog, "gatekeeper's log");
+        reader.setDaemon(true);
+        reader.start();
+        return launched;
+    }
+
+    private void readLog() {
+        try (BufferedReader log = process.inputReader()) {
+            for (String line = log.readLine(); line != null; line = log.readLine()) {
+                if (line.contains(SERVES)) {
+                    servesNs.complete(System.nanoTime());
+                }
+            }
+            servesNs.completeExceptionally(new IOException("the gatekeeper has ended"));
+        } catch (IOException e) {
+            servesNs.completeExceptionally(e);
+        }
+    }
+
+    /** ms from its start until it served; empty: it does not by this {@code System.nanoTime()}, or has ended. */
+    OptionalDouble awaitServing(long endNs) throws InterruptedException {
+        try {
+            long atNs = servesNs.get(Math.max(0, endNs - System.nanoTime()), TimeUnit.NANOSECONDS);
+            return OptionalDouble.of((atNs - startedNs) / 1e6);
+        } catch (ExecutionException | TimeoutException e) {
+            return OptionalDouble.empty();
+        }
+    }
+
+    /** Tells it to end, without waiting. */
+    void terminate() {
+        process.destroy();
     }
 
     /** Starts one, and returns once it takes connections; what it logs goes to this process's own streams. */
     static GatekeeperProcess start(List<String> command, GatekeeperConfig config) throws IOException, InterruptedException {
-        Path file = Files.createTempFile("gatekeeper", ".json");
-        Files.writeString(file, config.json());
-        ProcessBuilder builder = new ProcessBuilder(command).redirectOutput(ProcessBuilder.Redirect.INHERIT)
-            .redirectError(ProcessBuilder.Redirect.INHERIT);
-        builder.environment().put("RELAY_CONFIG", file.toString());
-        GatekeeperProcess started = new GatekeeperProcess(builder.start(), file, config.port());
+        GatekeeperProcess started = new GatekeeperProcess(new ProcessBuilder(command)
+            .redirectOutput(ProcessBuilder.Redirect.INHERIT).redirectError(ProcessBuilder.Redirect.INHERIT), config);
         try {
             started.awaitListening();
         } catch (IOException e) {
--- a/src/main/java/grebewick/lab/LatencyBench.java
+++ b/src/main/java/grebewick/lab/LatencyBench.java
@@ -103,11 +103,10 @@
         Vertx callersSide = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         Vertx serversSide = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         try {
-            StandInNames names = new StandInNames(serversSide);
-            int namesPort = Futures.await(names.listen());
-            StandInFleet fleet = new StandInFleet(serversSide, servers, work, HOLD_MS, LINES, id -> {});
-            names.list(fleet.hosts());
-            GatekeeperConfig config = new GatekeeperConfig(GatekeeperProcess.freePort(), namesPort, fleet.hosts(), 1, 1024);
+            StandInPlatform platform = StandInPlatform.open(serversSide,
+                new StandInPlatform.Size(servers, work, HOLD_MS, LINES, 1, 1024), id -> {});
+            StandInFleet fleet = platform.fleet();
+            GatekeeperConfig config = platform.config();
             if (way == Way.DIRECT) {
                 List<CallTimes> phases = new ArrayList<>();
                 DirectCallers callers = new DirectCallers(callersSide, id -> answered(phases, id));
@@ -180,11 +179,11 @@
 
     private List<String> command(Way way) {
         if (way == Way.GATEKEEPER) {
-            return command.isEmpty() ? GatekeeperProcess.COMMAND : command;
+            return GatekeeperProcess.commandOr(command);
         }
-        return List.of(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC", "-Xmx64m",
-            "-XX:TieredStopAtLevel=1", "-Dio.netty.jfr.enabled=false", "-cp", System.getProperty("java.class.path"),
-            ProbedGatekeeper.class.getName(), "--loop=" + (way == Way.PROBED ? LoopKind.SERVICE : LoopKind.NETTY),
-            "--timers=" + (way == Way.PROBED_MICROSECONDS ? TimerStep.MICROSECOND : TimerStep.MILLISECOND));
+        return JavaCommand.of(
+            List.of("-XX:+UseSerialGC", "-Xmx64m", "-XX:TieredStopAtLevel=1", "-Dio.netty.jfr.enabled=false"),
+            ProbedGatekeeper.class.getName(), List.of("--loop=" + (way == Way.PROBED ? LoopKind.SERVICE : LoopKind.NETTY),
+                "--timers=" + (way == Way.PROBED_MICROSECONDS ? TimerStep.MICROSECOND : TimerStep.MILLISECOND)));
     }
 }
--- a/src/main/java/grebewick/lab/LoadGenerator.java
+++ b/src/main/java/grebewick/lab/LoadGenerator.java
@@ -69,17 +69,14 @@
     public Integer call() throws Exception {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         Map<Long, Long> endedUs = new HashMap<>();
-        StandInNames names = new StandInNames(vertx);
-        int namesPort = Futures.await(names.listen());
-        StandInFleet fleet = new StandInFleet(vertx, servers, Math.max(1, workMs), Math.max(1, holdMs), lines,
+        StandInPlatform platform = StandInPlatform.open(vertx,
+            new StandInPlatform.Size(servers, Math.max(1, workMs), Math.max(1, holdMs), lines, peers, sockets),
             id -> endedUs.putIfAbsent(id, nowUs()));
-        names.list(fleet.hosts());
-        GatekeeperConfig config = new GatekeeperConfig(GatekeeperProcess.freePort(), namesPort, fleet.hosts(), peers, sockets);
-        try (GatekeeperProcess gatekeeper = GatekeeperProcess.start(command.isEmpty() ? GatekeeperProcess.COMMAND : command,
-            config)) {
+        GatekeeperConfig config = platform.config();
+        try (GatekeeperProcess gatekeeper = GatekeeperProcess.start(GatekeeperProcess.commandOr(command), config)) {
             StandInCallers callers = new StandInCallers(vertx, "a", DEADLINE_MS);
             Futures.await(callers.connect(config.port(), CONNECTIONS));
-            return drive(vertx, gatekeeper, callers, fleet, endedUs) ? 0 : 1;
+            return drive(vertx, gatekeeper, callers, platform.fleet(), endedUs) ? 0 : 1;
         } finally {
             vertx.close();
         }
