RestartOfAllTest: replicas keep 256 connections, and connections are counted

Cause: kept connections live longer than one transfer, so that a restart of all could exceed the 256 connections of a replica; the test knew no connections.

Change: the simulated replicas count and bound connections; the bounds of the test are as before.

--- a/src/test/java/grebewick/discovery/transfer/RestartOfAllTest.java
+++ b/src/test/java/grebewick/discovery/transfer/RestartOfAllTest.java
@@ -13,6 +13,8 @@
     /** Too large for a datagram, so that each client needs a transfer of each zone. */
     private static final int SERVERS = 14;
     private static final int REPLICAS = 12;
+    /** Of one replica, as a replica has it unless told otherwise. */
+    private static final int CONNECTIONS = 256;
     /** A client that is refused asks again every 2 s on the average, and the last one waits for 25 s: 12 for its two zones. */
     private static final long MOST_REFUSALS = 6;
 
@@ -36,6 +38,7 @@
             net.primary.create("s" + i + ".east.fleet.local.", "z" + i, SERVERS);
         }
         List<SimReplica> replicas = net.addReplicas(REPLICAS, "east", "east-1");
+        replicas.forEach(each -> each.mostConnections = CONNECTIONS);
         DiscoveryConfig config = net.config();
         limit(replicas, transfersPerS);
         for (int i = 0; i < CLIENTS; i++) {
@@ -45,8 +48,11 @@
         long current = clients.stream().filter(client -> client.published.equals(net.primary.list())).count();
         long asked = replicas.stream().mapToLong(each -> each.transfers).sum();
         long refused = replicas.stream().mapToLong(each -> each.refusals).sum();
+        long opened = clients.stream().mapToLong(client -> client.client().statistics().connections()).sum();
+        long closed = replicas.stream().mapToLong(each -> each.connectionsRefused).sum();
         System.out.println(
-            current + " of " + CLIENTS + " current after " + endS + " s, transfers asked " + asked + ", refused " + refused
+            "connections opened " + opened + ", closed at once " + closed + "; " + current + " of " + CLIENTS + " current after "
+                + endS + " s, transfers asked " + asked + ", refused " + refused
                 + ", asked of the busiest replica " + replicas.stream().mapToLong(each -> each.transfers).max().orElseThrow());
         assertThat(current).isEqualTo(CLIENTS);
         assertThat(refused).as("no more refusals than %s for each transfer", MOST_REFUSALS)
--- a/src/test/java/grebewick/discovery/transfer/SimClient.java
+++ b/src/test/java/grebewick/discovery/transfer/SimClient.java
@@ -30,6 +30,8 @@
     private final Map<String, ZoneVersion> versions = new HashMap<>();
     private final Set<Long> open = new HashSet<>();
     private final Map<Long, Replica> connections = new HashMap<>();
+    /** Connections that the replica closes at once; what is asked on them is lost. */
+    private final Set<Long> refused = new HashSet<>();
     /** Of each transfer that is open, its connection. */
     private final Map<Long, Long> transfers = new HashMap<>();
     final List<String> log = new ArrayList<>();
@@ -97,11 +99,22 @@
 
     /** A connection has ended by itself. */
     void disconnected(long connection) {
-        connections.remove(connection);
+        if (end(connection) == null) {
+            return;
+        }
         transfers.entrySet().removeIf(each -> each.getValue() == connection && open.remove(each.getKey()));
         step(now -> client.disconnected(now, connection, TransferFailure.DISCONNECTED));
     }
 
+    /** A connection is no more; gives its replica, or null: it is unknown. */
+    private Replica end(long connection) {
+        Replica replica = connections.remove(connection);
+        if (replica != null && !refused.remove(connection)) {
+            network.disconnect(replica);
+        }
+        return replica;
+    }
+
     /** The numbers of its connections. */
     Set<Long> connections() {
         return Set.copyOf(connections.keySet());
@@ -152,13 +165,18 @@
             network.ask(this, query.request(), query.replica(), query.zone(), query.held(), false);
         } else if (action instanceof OpenConnection connection) {
             assertThat(connections.put(connection.connection(), connection.replica())).as("a new connection").isNull();
+            if (!network.connect(this, connection.connection(), connection.replica())) {
+                refused.add(connection.connection());
+            }
         } else if (action instanceof SendTransfer transfer) {
             assertThat(connections.get(transfer.connection())).as("a connection to the replica").isEqualTo(transfer.replica());
             open.add(transfer.request());
             transfers.put(transfer.request(), transfer.connection());
-            network.ask(this, transfer.request(), transfer.replica(), transfer.zone(), transfer.held(), true);
+            if (!refused.contains(transfer.connection())) {
+                network.ask(this, transfer.request(), transfer.replica(), transfer.zone(), transfer.held(), true);
+            }
         } else if (action instanceof CloseConnection connection) {
-            assertThat(connections.remove(connection.connection())).as("a connection that is open").isNotNull();
+            assertThat(end(connection.connection())).as("a connection that is open").isNotNull();
             transfers.entrySet().removeIf(each -> each.getValue() == connection.connection() && open.remove(each.getKey()));
         } else if (action instanceof ForgetQuery query) {
             assertThat(open.remove(query.request())).as("a query that is open").isTrue();
--- a/src/test/java/grebewick/discovery/transfer/SimNetwork.java
+++ b/src/test/java/grebewick/discovery/transfer/SimNetwork.java
@@ -86,6 +86,20 @@
         deliver(!isTransfer, () -> arrived(client, number, replicas.get(replica), request, query, isTransfer));
     }
 
+    /** A client connects to a replica, which may close the connection at once; gives whether it keeps it. */
+    boolean connect(SimClient client, long connection, Replica replica) {
+        boolean isKept = replicas.get(replica).accept();
+        if (!isKept) {
+            clock.after(LEAST_LATENCY_US + random.nextLong(LATENCY_SPREAD_US), () -> client.disconnected(connection));
+        }
+        return isKept;
+    }
+
+    /** A connection that was kept is closed. */
+    void disconnect(Replica replica) {
+        replicas.get(replica).connections--;
+    }
+
     private void deliver(boolean isDatagram, Runnable delivery) {
         if (isDatagram && random.nextDouble() < lost) {
             return;
--- a/src/test/java/grebewick/discovery/transfer/SimReplica.java
+++ b/src/test/java/grebewick/discovery/transfer/SimReplica.java
@@ -24,6 +24,10 @@
     private String isolated;
     /** Transfers that it still takes; negative: all. */
     int transfersLeft = -1;
+    /** Connections that it keeps at a time; one more is closed at once. */
+    int mostConnections = Integer.MAX_VALUE;
+    int connections;
+    long connectionsRefused;
     /** Datagrams that came, transfers that were taken and refused, and bytes that it sent. */
     long queries;
     long transfers;
@@ -56,6 +60,16 @@
         }
     }
 
+    /** Whether it keeps a new connection. */
+    boolean accept() {
+        if (connections >= mostConnections) {
+            connectionsRefused++;
+            return false;
+        }
+        connections++;
+        return true;
+    }
+
     /** What it answers, before any fault. */
     TransferResponse answer(TransferRequest request, boolean isTransfer) {
         ZoneContent content = held.get(request.zone());
