--- a/src/test/java/grebewick/ReconnectsTest.java
+++ b/src/test/java/grebewick/ReconnectsTest.java
@@ -37,6 +37,8 @@
     /** Connections that server s3 has accepted, and of these the ones that it ends after its state. */
     private int accepted;
     private int ends = Integer.MAX_VALUE;
+    /** Of these, how many it has ended. */
+    private int ended;
     /** Connections that it leaves open, and how many of these the gatekeeper has answered on. */
     private final List<NetSocket> open = new ArrayList<>();
     private int answered;
@@ -69,6 +71,7 @@
     private void accept(NetSocket socket) {
         accepted++;
         if (accepted <= ends) {
+            socket.closeHandler(v -> ended++);
             socket.write(STATE).onComplete(v -> socket.close());
         } else {
             kept = socket;
@@ -149,7 +152,12 @@
             s.play("wait 500\n s1 has no more");
         }
         s.play("c > OPTIONS 77\n c < 200 OPTIONS 77");
-        s.on(() -> ends = accepted);
+        // The gatekeeper has heard the end of all before time passes: its wait begins with that.
+        s.until(() -> {
+            ends = ended == accepted ? accepted : ends;
+            return ends == accepted;
+        });
+        turns();
         s.play("wait " + (linger == RESET ? 500 : 2000));
         s.until(() -> kept != null);
         s.on(() -> kept.write(new TrunkDialect().encode("release 0a 16")));
