--- a/src/main/java/grebewick/trunk/Link.java
+++ b/src/main/java/grebewick/trunk/ServerConnection.java
@@ -8,13 +8,13 @@
 import java.util.Set;
 
 /** One connection to a recipe server, and the calls that were set up on it. */
-final class Link {
+final class ServerConnection {
     private static final int MOST_ENDED = 256;
 
     final NetSocket socket;
     final TrunkCodec codec = new TrunkCodec();
     /** Calls whose set-up went out here: waiting for their answer, and standing. */
-    final Set<Trunk.Leg> legs = new LinkedHashSet<>();
+    final Set<Trunk.CallLeg> legs = new LinkedHashSet<>();
     /** Calls that an attempt of ended here before it stood, the latest: a second copy of that end may follow. */
     private final Set<Long> ended = new LinkedHashSet<>();
     final long sinceUs;
@@ -35,7 +35,7 @@
     /** A set-up was given up whose bytes had not been taken by the network. */
     boolean orphan;
 
-    Link(NetSocket socket, long nowUs) {
+    ServerConnection(NetSocket socket, long nowUs) {
         this.socket = socket;
         sinceUs = nowUs;
         heardUs = nowUs;
@@ -82,7 +82,7 @@
     /** Set-ups that wait for their answer here. */
     int open() {
         int n = 0;
-        for (Trunk.Leg leg : legs) {
+        for (Trunk.CallLeg leg : legs) {
             n += leg.stands ? 0 : 1;
         }
         return n;
--- a/src/main/java/grebewick/trunk/Line.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -17,7 +17,7 @@
  * A few connections to one recipe server, opened as soon as it is listed and again when one is lost. Set-ups are
  * spread over them: an answer that cannot be read, and a reset, take along whatever else is open on their connection.
  */
-final class Line {
+final class ServerConnections {
     /** Connections kept up, and the most while set-ups wait on all of them. */
     private static final int SPARE = 2;
     private static final int MOST = 6;
@@ -39,17 +39,17 @@
     private static final int BACKLOG = 1 << 20;
     private static final int MOST_OWED = 10_000;
 
-    /** What a line tells its owner. */
+    /** What connections tell its owner. */
     interface Owner {
-        void message(Line line, Link on, TrunkMessage message);
+        void message(ServerConnections connections, ServerConnection on, TrunkMessage message);
 
         /** Whatever was open on that connection is given up. */
-        void lost(Line line, Link link);
+        void lost(ServerConnections connections, ServerConnection connection);
 
         /** No connection came up; {@code dead}: nothing listens, and no connection is left: the process is gone. */
-        void unreachable(Line line, boolean dead);
+        void unreachable(ServerConnections connections, boolean dead);
 
-        void up(Line line);
+        void up(ServerConnections connections);
     }
 
     final String id;
@@ -64,7 +64,7 @@
     private final Owner owner;
     private final Consumer<String> log;
     private final ArrayDeque<TrunkMessage> owed = new ArrayDeque<>();
-    private final List<Link> links = new ArrayList<>();
+    private final List<ServerConnection> open = new ArrayList<>();
     private Address address;
     private boolean connecting;
     private boolean listed = true;
@@ -79,8 +79,8 @@
     /** A connection broke off: what was on its way to here comes again on the next one to be opened, and only there. */
     private boolean renew;
 
-    Line(String id, Address address, long launchedUs, NetClient client, Quota quota, ServerReconnects reconnects,
-         Clock clock, Timers timers, Owner owner, Consumer<String> log) {
+    ServerConnections(String id, Address address, long launchedUs, NetClient client, Quota quota, ServerReconnects reconnects,
+                      Clock clock, Timers timers, Owner owner, Consumer<String> log) {
         this.reconnects = reconnects;
         this.id = id;
         this.address = address;
@@ -99,14 +99,14 @@
      * server says of an earlier attempt on the same one could not be told from what it says of this: it would end it, and a
      * third would go out beside it. So another is opened for it if it may be, and only else the same one serves.
      */
-    Link pick(long id) {
-        Link best = null;
-        Link again = null;
-        for (Link link : links) {
-            if (takes(link) && !link.hadAttempt(id)) {
-                best = better(best, link);
-            } else if (takes(link)) {
-                again = better(again, link);
+    ServerConnection pick(long id) {
+        ServerConnection best = null;
+        ServerConnection again = null;
+        for (ServerConnection connection : open) {
+            if (takes(connection) && !connection.hadAttempt(id)) {
+                best = better(best, connection);
+            } else if (takes(connection)) {
+                again = better(again, connection);
             }
         }
         if (best == null) {
@@ -119,23 +119,24 @@
         return best;
     }
 
-    private static Link better(Link best, Link link) {
-        return best == null || link.open() < best.open() || link.open() == best.open() && link.usedUs > best.usedUs ? link : best;
+    private static ServerConnection better(ServerConnection best, ServerConnection connection) {
+        return best == null || connection.open() < best.open()
+            || connection.open() == best.open() && connection.usedUs > best.usedUs ? connection : best;
     }
 
-    private static boolean takes(Link link) {
-        return !link.retired && !link.isStuck();
+    private static boolean takes(ServerConnection connection) {
+        return !connection.retired && !connection.isStuck();
     }
 
     /** Whether a set-up could leave now. */
     boolean takesNow() {
-        return links.stream().anyMatch(Line::takes);
+        return open.stream().anyMatch(ServerConnections::takes);
     }
 
     private int usable() {
         int n = 0;
-        for (Link link : links) {
-            n += link.retired ? 0 : 1;
+        for (ServerConnection connection : open) {
+            n += connection.retired ? 0 : 1;
         }
         return n;
     }
@@ -159,16 +160,16 @@
         if (anew) {
             reconnects.restarted();
             // The list is late: what has come up since the start it tells of is the new process's already.
-            List.copyOf(links).stream().filter(l -> moved || l.sinceUs <= launched).forEach(this::retire);
+            List.copyOf(open).stream().filter(l -> moved || l.sinceUs <= launched).forEach(this::retire);
             connect();
         }
     }
 
     /** Nothing new goes out there; it is closed once no call is left on it, or after a while. */
-    void retire(Link link) {
-        if (!link.retired) {
-            link.retired = true;
-            timers.after(OLD_US, () -> drop(link));
+    void retire(ServerConnection connection) {
+        if (!connection.retired) {
+            connection.retired = true;
+            timers.after(OLD_US, () -> drop(connection));
             connect();
         }
     }
@@ -212,86 +213,86 @@
     }
 
     private void begin(NetSocket socket) {
-        Link link = new Link(socket, clock.nowUs());
-        links.add(link);
+        ServerConnection connection = new ServerConnection(socket, clock.nowUs());
+        open.add(connection);
         unreachable = false;
         refusedBesideOthers = false;
         starved = false;
-        socket.handler(bytes -> read(link, bytes));
+        socket.handler(bytes -> read(connection, bytes));
         socket.exceptionHandler(e -> {
-            link.broken = true;
+            connection.broken = true;
             socket.close();
         });
-        socket.closeHandler(v -> closed(link));
+        socket.closeHandler(v -> closed(connection));
         for (TrunkMessage m = owed.poll(); m != null; m = owed.poll()) {
-            write(link, m);
+            write(connection, m);
         }
         if (!listed) {
             // Before anything that waits for it goes out there.
-            drop(link);
+            drop(connection);
             return;
         }
         owner.up(this);
         refill();
     }
 
-    private void read(Link link, Buffer bytes) {
-        if (!links.contains(link)) {
+    private void read(ServerConnection connection, Buffer bytes) {
+        if (!open.contains(connection)) {
             return;
         }
         long now = clock.nowUs();
         try {
-            link.codec.read(bytes, message -> {
-                link.heardUs = now;
-                link.heard = true;
-                link.halfUs = 0;
-                owner.message(this, link, message);
+            connection.codec.read(bytes, message -> {
+                connection.heardUs = now;
+                connection.heard = true;
+                connection.halfUs = 0;
+                owner.message(this, connection, message);
             });
-            link.halfUs = !link.codec.half() ? 0 : link.halfUs > 0 ? link.halfUs : now;
+            connection.halfUs = !connection.codec.half() ? 0 : connection.halfUs > 0 ? connection.halfUs : now;
         } catch (RuntimeException e) {
             log.accept("trunk " + id + ": closed, as it sent " + e.getMessage());
-            drop(link);
+            drop(connection);
         }
     }
 
     /** Of no further use: whatever is open on it is lost, now and not when the other side has closed too. */
-    void drop(Link link) {
-        link.broken = true;
-        closed(link);
-        link.abort();
+    void drop(ServerConnection connection) {
+        connection.broken = true;
+        closed(connection);
+        connection.abort();
     }
 
     /**
      * Closes a connection that nothing is open on. Guards against the loss of a release that the server is just
      * sending there: this side ends, the server's is heard to its own end.
      */
-    private void finish(Link link) {
-        if (!link.finishing) {
-            link.finishing = true;
-            link.retired = true;
-            link.shutdownOutput();
-            timers.after(FAREWELL_US, () -> drop(link));
+    private void finish(ServerConnection connection) {
+        if (!connection.finishing) {
+            connection.finishing = true;
+            connection.retired = true;
+            connection.shutdownOutput();
+            timers.after(FAREWELL_US, () -> drop(connection));
         }
     }
 
-    private void closed(Link link) {
-        if (!links.remove(link)) {
+    private void closed(ServerConnection connection) {
+        if (!open.remove(connection)) {
             return;
         }
         quota.give();
         // Not after a farewell, which leaves nothing on its way.
-        renew |= listed && (link.broken || !link.finishing);
-        if (link.broken || link.open() > 0) {
-            reconnects.broke(link.sinceUs, clock.nowUs());
-        } else if (!link.finishing) {
-            reconnects.closed(link.sinceUs, link.usedUs, clock.nowUs());
+        renew |= listed && (connection.broken || !connection.finishing);
+        if (connection.broken || connection.open() > 0) {
+            reconnects.broke(connection.sinceUs, clock.nowUs());
+        } else if (!connection.finishing) {
+            reconnects.closed(connection.sinceUs, connection.usedUs, clock.nowUs());
         }
-        if (links.isEmpty() && refusedBesideOthers) {
+        if (open.isEmpty() && refusedBesideOthers) {
             // Whether the process is gone is to be known at once.
             refusedBesideOthers = false;
             reconnects.retryNow();
         }
-        owner.lost(this, link);
+        owner.lost(this, connection);
         refill();
     }
 
@@ -305,7 +306,7 @@
         }
     }
 
-    /** Holds up what {@link #connect} could not do yet. */
+    /** Holds up what {@connection #connect} could not do yet. */
     private void retryAfter(long waitUs) {
         long atUs = clock.nowUs() + waitUs;
         if (atUs < retryUs) {
@@ -324,15 +325,15 @@
         if (!refused) {
             // Guards against a machine that vanished: its connections stay open and silent for ever.
             long doubtUs = clock.nowUs() - DOUBT_US;
-            for (Link link : List.copyOf(links)) {
-                if (link.heardUs < doubtUs) {
-                    drop(link);
+            for (ServerConnection connection : List.copyOf(open)) {
+                if (connection.heardUs < doubtUs) {
+                    drop(connection);
                 }
             }
         }
-        refusedBesideOthers = refused && !links.isEmpty();
+        refusedBesideOthers = refused && !open.isEmpty();
         // With a connection left the process runs, and only takes no more of them.
-        unreached(refused && links.isEmpty());
+        unreached(refused && open.isEmpty());
         refill();
     }
 
@@ -342,40 +343,40 @@
         owner.unreachable(this, dead);
     }
 
-    boolean isOpen(Link link) {
-        return links.contains(link);
+    boolean isOpen(ServerConnection connection) {
+        return open.contains(connection);
     }
 
     /** Sends a set-up on a connection that was picked for it; {@code sent} is run once the network has it. */
-    void sendSetUp(Link link, TrunkMessage message, Runnable sent) {
-        write(link, message).onSuccess(v -> sent.run());
+    void sendSetUp(ServerConnection connection, TrunkMessage message, Runnable sent) {
+        write(connection, message).onSuccess(v -> sent.run());
     }
 
     /** Sends on the connection given, or else on another, or on the next one to come up. */
-    void send(Link on, TrunkMessage message) {
-        Link link = on != null && links.contains(on) ? on : null;
-        if (link != null && link.finishing) {
-            link = null;
+    void send(ServerConnection on, TrunkMessage message) {
+        ServerConnection connection = on != null && open.contains(on) ? on : null;
+        if (connection != null && connection.finishing) {
+            connection = null;
         }
-        for (Link other : links) {
-            link = link == null && !other.retired ? other : link;
+        for (ServerConnection other : open) {
+            connection = connection == null && !other.retired ? other : connection;
         }
-        if (link != null) {
-            write(link, message);
+        if (connection != null) {
+            write(connection, message);
         } else if (listed && owed.size() < MOST_OWED) {
             owed.add(message);
         }
     }
 
-    private Future<Void> write(Link link, TrunkMessage message) {
-        if (link.socket.writeQueueFull() && ++link.stuck > BACKLOG / TrunkCodec.MOST) {
+    private Future<Void> write(ServerConnection connection, TrunkMessage message) {
+        if (connection.socket.writeQueueFull() && ++connection.stuck > BACKLOG / TrunkCodec.MOST) {
             log.accept("trunk " + id + ": closed, as it takes nothing any more");
-            drop(link);
+            drop(connection);
             return Future.failedFuture("stuck");
         }
-        link.stuck = link.socket.writeQueueFull() ? link.stuck : 0;
-        return link.socket.write(TrunkCodec.encode(message)).onSuccess(v -> {
-            if (starved && takes(link)) {
+        connection.stuck = connection.socket.writeQueueFull() ? connection.stuck : 0;
+        return connection.socket.write(TrunkCodec.encode(message)).onSuccess(v -> {
+            if (starved && takes(connection)) {
                 owner.up(this);
             }
         });
@@ -387,21 +388,21 @@
     }
 
     long unwritten() {
-        return links.stream().mapToLong(Link::unwritten).sum();
+        return open.stream().mapToLong(ServerConnection::unwritten).sum();
     }
 
     /** Closes what stopped in the middle of a message, and what is not needed. */
     void sweep(long nowUs) {
-        for (Link link : List.copyOf(links)) {
-            if (link.halfUs > 0 && nowUs - link.halfUs >= HALF_US) {
+        for (ServerConnection connection : List.copyOf(open)) {
+            if (connection.halfUs > 0 && nowUs - connection.halfUs >= HALF_US) {
                 log.accept("trunk " + id + ": closed, as it stopped in the middle of a message");
-                drop(link);
-            } else if (link.orphan && link.isStuck()) {
+                drop(connection);
+            } else if (connection.orphan && connection.isStuck()) {
                 // It got stuck just after.
-                dropOrphan(link);
-            } else if (link.legs.isEmpty()
-                && (link.retired || usable() > kept() && nowUs - link.usedUs >= UNUSED_US)) {
-                finish(link);
+                dropOrphan(connection);
+            } else if (connection.legs.isEmpty()
+                && (connection.retired || usable() > kept() && nowUs - connection.usedUs >= UNUSED_US)) {
+                finish(connection);
             }
         }
     }
@@ -410,26 +411,26 @@
      * A set-up of this connection was given up. Guards against its being sent on much later, when the connection takes
      * bytes again: they can't be taken back from it, nor those that left before, but half a set-up is none.
      */
-    void orphan(Link link) {
-        link.orphan = true;
-        if (link.isStuck()) {
-            dropOrphan(link);
+    void orphan(ServerConnection connection) {
+        connection.orphan = true;
+        if (connection.isStuck()) {
+            dropOrphan(connection);
         }
     }
 
-    private void dropOrphan(Link link) {
+    private void dropOrphan(ServerConnection connection) {
         log.accept("trunk " + id + ": closed, as it did not take a set-up that was given up since");
-        drop(link);
+        drop(connection);
     }
 
     void closeIdle() {
-        List.copyOf(links).forEach(this::finish);
+        List.copyOf(open).forEach(this::finish);
     }
 
     /** It is gone from the list: no new connection; one that stays open in silence is closed. */
     void gone() {
         listed = false;
         owed.clear();
-        timers.after(GONE_US, () -> List.copyOf(links).forEach(this::drop));
+        timers.after(GONE_US, () -> List.copyOf(open).forEach(this::drop));
     }
 }
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -29,8 +29,8 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
-/** The recipe servers over their binary protocol: one line to each, and the calls that are on them. */
-public final class Trunk implements Servers<byte[]>, Line.Owner {
+/** The recipe servers over their binary protocol: a few connections to each, and the calls that are on them. */
+public final class Trunk implements Servers<byte[]>, ServerConnections.Owner {
     /** us. Silence after a set-up that casts doubt on a connection, at the most: sooner where repeats are due sooner. */
     private static final long DOUBT_US = 500_000;
     private static final int MOST_OWN = 4_000;
@@ -47,12 +47,12 @@
     private final long probeUs;
     private final long doubtUs;
     private final Consumer<String> log;
-    private final Map<String, Line> lines = new TreeMap<>();
-    private final Map<Long, Leg> byCall = new HashMap<>();
-    private final Map<Long, Leg> byId = new HashMap<>();
+    private final Map<String, ServerConnections> servers = new TreeMap<>();
+    private final Map<Long, CallLeg> byCall = new HashMap<>();
+    private final Map<Long, CallLeg> byId = new HashMap<>();
     private final Map<Long, Probe> probes = new HashMap<>();
     /** Where set-ups that waited for a connection may leave once all input is read. */
-    private final Set<Line> ready = new LinkedHashSet<>();
+    private final Set<ServerConnections> ready = new LinkedHashSet<>();
     /** Ids that this process has set up: what concerns others stems from before its start. */
     private final Map<Long, Boolean> own = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -69,7 +69,7 @@
 
     /**
      * Makes the trunk side, of so many connections at the most, and with a source of randomness for delays;
-     * {@link #attach} gives it its core before anything is listed.
+     * {@connection #attach} gives it its core before anything is listed.
      */
     public Trunk(Vertx vertx, Settings set, int connections, RandomGenerator random, Clock clock, Timers timers,
                  Consumer<String> log) {
@@ -90,7 +90,7 @@
 
     private void sweep() {
         timers.after(SWEEP_US, this::sweep);
-        lines.values().forEach(line -> line.sweep(clock.nowUs()));
+        servers.values().forEach(connections -> connections.sweep(clock.nowUs()));
     }
 
     /** Who is told of the ends of calls that stood before this process started: they belong to no process. */
@@ -103,18 +103,18 @@
         if (own.containsKey(id)) {
             return false;
         }
-        lines.values().forEach(line -> line.send(null, of(RELEASE, id, NORMAL_CLEARING)));
+        servers.values().forEach(connections -> connections.send(null, of(RELEASE, id, NORMAL_CLEARING)));
         return true;
     }
 
     /** Messages that wait for a connection to their server. */
     public int owed() {
-        return lines.values().stream().mapToInt(Line::owed).sum();
+        return servers.values().stream().mapToInt(ServerConnections::owed).sum();
     }
 
     /** Bytes that servers were sent and the network has not taken. */
     public long unwritten() {
-        return lines.values().stream().mapToLong(Line::unwritten).sum();
+        return servers.values().stream().mapToLong(ServerConnections::unwritten).sum();
     }
 
     /** Messages from servers since the start. */
@@ -133,36 +133,37 @@
     }
 
     /**
-     * The whole list as it now is: lines to new servers are opened, those of gone ones end. Gives the servers
+     * The whole list as it now is: servers to new servers are opened, those of gone ones end. Gives the servers
      * whose calls from before a moment can't stand any more.
      */
     public Map<String, Long> list(List<Endpoint> endpoints) {
         Map<String, Endpoint> now = new TreeMap<>();
         Map<String, Long> dead = new TreeMap<>();
         endpoints.forEach(e -> now.put(e.entry().server(), e));
-        lines.values().removeIf(line -> {
-            boolean gone = !now.containsKey(line.id);
+        servers.values().removeIf(connections -> {
+            boolean gone = !now.containsKey(connections.id);
             if (gone) {
-                line.gone();
-                dead.put(line.id, Long.MAX_VALUE);
+                connections.gone();
+                dead.put(connections.id, Long.MAX_VALUE);
             }
             return gone;
         });
         quota.servers(now.size());
         now.forEach((id, e) -> {
-            Line line = lines.get(id);
-            if (line != null) {
-                if (e.entry().startedAtUs() > line.launchedUs) {
+            ServerConnections connections = servers.get(id);
+            if (connections != null) {
+                if (e.entry().startedAtUs() > connections.launchedUs) {
                     dead.put(id, e.entry().startedAtUs());
                 }
-                line.update(e.address(), e.entry().startedAtUs());
+                connections.update(e.address(), e.entry().startedAtUs());
             } else {
-                line = new Line(id, e.address(), e.entry().startedAtUs(), client, quota, new ServerReconnects(budget, random),
+                connections = new ServerConnections(id, e.address(), e.entry().startedAtUs(), client, quota,
+                    new ServerReconnects(budget, random),
                     clock, timers, this, log);
-                lines.put(id, line);
-                line.connect();
+                servers.put(id, connections);
+                connections.connect();
             }
-            line.drains = e.entry().stage() != Stage.HEALTHY;
+            connections.drains = e.entry().stage() != Stage.HEALTHY;
         });
         return dead;
     }
@@ -173,15 +174,15 @@
      * choice was made before: for a set-up that waits for its connection, and for one whose bytes are stuck.
      */
     public void recall() {
-        for (Leg leg : List.copyOf(byCall.values())) {
-            if (leg.stands || leg.line.takesCalls() || byCall.get(leg.call) != leg) {
+        for (CallLeg leg : List.copyOf(byCall.values())) {
+            if (leg.stands || leg.connections.takesCalls() || byCall.get(leg.call) != leg) {
                 continue;
             }
             if (leg.on == null) {
                 forget(leg);
                 core.ended(leg.call, leg.copy, State.IGNORED, 0, List.of());
             } else if (leg.on.unwritten() > 0) {
-                leg.line.drop(leg.on);
+                leg.connections.drop(leg.on);
             }
         }
     }
@@ -190,17 +191,17 @@
 
     @Override
     public void setUp(long call, int copy, String server, Offer<byte[]> offer, long waitUs) {
-        Line line = lines.get(server);
-        if (line == null) {
+        ServerConnections connections = servers.get(server);
+        if (connections == null) {
             core.ended(call, copy, State.IGNORED, 0, List.of());
             return;
         }
-        if (line.isUnreachable()) {
+        if (connections.isUnreachable()) {
             // Guards calls against waiting for a machine that is gone: nothing has left, another server may have it.
             core.ended(call, copy, State.CONNECT_ERROR, 0, List.of());
             return;
         }
-        Leg leg = new Leg(call, copy, line, offer,
+        CallLeg leg = new CallLeg(call, copy, connections, offer,
             TrunkMessage.setUp(offer.id(), offer.band(), offer.item(), Math.max(1, waitUs / 1000), offer.description()));
         byCall.put(call, leg);
         byId.put(offer.id(), leg);
@@ -209,52 +210,52 @@
     }
 
     /** Sends the set-up, or leaves it to wait for a connection. */
-    private void leave(Leg leg) {
-        Link link = leg.line.pick(leg.offer.id());
-        if (link == null) {
+    private void leave(CallLeg leg) {
+        ServerConnection connection = leg.connections.pick(leg.offer.id());
+        if (connection == null) {
             return;
         }
-        leg.on = link;
+        leg.on = connection;
         leg.sentUs = clock.nowUs();
-        link.usedUs = leg.sentUs;
-        link.legs.add(leg);
-        leg.line.sendSetUp(link, leg.message, () -> leg.sent = true);
+        connection.usedUs = leg.sentUs;
+        connection.legs.add(leg);
+        leg.connections.sendSetUp(connection, leg.message, () -> leg.sent = true);
     }
 
     @Override
     public void giveUp(long call, int copy, String server) {
-        Leg leg = byCall.get(call);
+        CallLeg leg = byCall.get(call);
         if (leg == null || leg.stands) {
             return;
         }
         forget(leg);
         if (leg.on != null && !leg.sent) {
-            leg.line.orphan(leg.on);
+            leg.connections.orphan(leg.on);
         }
-        if (leg.on == null || !leg.line.isOpen(leg.on)) {
+        if (leg.on == null || !leg.connections.isOpen(leg.on)) {
             return;
         }
-        leg.line.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
+        leg.connections.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
         if (leg.on.heardUs < leg.sentUs && clock.nowUs() - leg.sentUs > doubtUs) {
             // Guards against a silent, vanished server: only a new connection tells it from a slow one. And against
             // one whose answer got lost: what else it is to send there may be lost too.
-            leg.line.retire(leg.on);
+            leg.connections.retire(leg.on);
         }
     }
 
     @Override
     public void release(long call, String server) {
-        Leg leg = byCall.get(call);
+        CallLeg leg = byCall.get(call);
         if (leg != null) {
             forget(leg);
-            leg.line.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
+            leg.connections.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
         }
     }
 
     @Override
     public void probe(String server) {
-        Line line = lines.get(server);
-        if (line == null) {
+        ServerConnections connections = servers.get(server);
+        if (connections == null) {
             core.checked(server, State.CONNECT_ERROR, 0, List.of());
             return;
         }
@@ -265,39 +266,39 @@
             }
         })));
         // Where no connection is up yet, it goes out on the first.
-        line.send(null, of(TEST, id, 1));
+        connections.send(null, of(TEST, id, 1));
     }
 
     @Override
     public void closeIdle(String server) {
-        Line line = lines.get(server);
-        if (line != null && byCall.values().stream().noneMatch(leg -> leg.line == line)) {
-            line.closeIdle();
+        ServerConnections connections = servers.get(server);
+        if (connections != null && byCall.values().stream().noneMatch(leg -> leg.connections == connections)) {
+            connections.closeIdle();
         }
     }
 
-    // ---- from the lines
+    // ---- from the servers
 
     @Override
-    public void up(Line line) {
-        leaveAfterInput(line);
+    public void up(ServerConnections connections) {
+        leaveAfterInput(connections);
     }
 
     /**
      * What waits for a connection with that server leaves once all input is read. Guards against set-ups for callers that have
      * left and to servers that drain: a loop that comes late may hear of the connection before it hears of that.
      */
-    private void leaveAfterInput(Line line) {
-        if (ready.add(line) && ready.size() == 1) {
+    private void leaveAfterInput(ServerConnections connections) {
+        if (ready.add(connections) && ready.size() == 1) {
             timers.afterInput(this::leaveReady);
         }
     }
 
     private void leaveReady() {
-        List<Line> now = List.copyOf(ready);
+        List<ServerConnections> now = List.copyOf(ready);
         ready.clear();
-        for (Line line : now) {
-            for (Leg leg : legs(line)) {
+        for (ServerConnections connections : now) {
+            for (CallLeg leg : legs(connections)) {
                 // Else it was given up, or taken back, meanwhile.
                 if (leg.on == null && byCall.get(leg.call) == leg) {
                     leave(leg);
@@ -307,25 +308,25 @@
     }
 
     @Override
-    public void unreachable(Line line, boolean dead) {
-        for (Leg leg : legs(line)) {
-            if (leg.on == null && line.takesNow()) {
+    public void unreachable(ServerConnections connections, boolean dead) {
+        for (CallLeg leg : legs(connections)) {
+            if (leg.on == null && connections.takesNow()) {
                 // It has waited for another connection than those that are up.
-                leaveAfterInput(line);
+                leaveAfterInput(connections);
             } else if (leg.on == null) {
                 forget(leg);
                 core.ended(leg.call, leg.copy, State.CONNECT_ERROR, 0, List.of());
             }
         }
         if (dead) {
-            legs(line).stream().filter(leg -> leg.stands).forEach(this::forget);
-            core.died(line.id);
+            legs(connections).stream().filter(leg -> leg.stands).forEach(this::forget);
+            core.died(connections.id);
         }
     }
 
     @Override
-    public void lost(Line line, Link link) {
-        for (Leg leg : List.copyOf(link.legs)) {
+    public void lost(ServerConnections connections, ServerConnection connection) {
+        for (CallLeg leg : List.copyOf(connection.legs)) {
             if (!leg.stands) {
                 forget(leg);
                 core.ended(leg.call, leg.copy, State.RESET_BY_PEER, 0, List.of());
@@ -334,16 +335,16 @@
     }
 
     @Override
-    public void message(Line line, Link on, TrunkMessage m) {
+    public void message(ServerConnections connections, ServerConnection on, TrunkMessage m) {
         taken++;
         switch (m.type()) {
-            case ANSWER -> answer(line, on, m);
+            case ANSWER -> answer(connections, on, m);
             case RELEASE -> {
-                line.send(on, of(RELEASED, m.call(), -1));
-                ended(line, on, m);
+                connections.send(on, of(RELEASED, m.call(), -1));
+                ended(connections, on, m);
             }
-            case GROUP_STATE -> core.checked(line.id, State.OK, 0, reports.read(m.report()));
-            case TEST -> line.send(on, of(TESTED, m.call(), 1));
+            case GROUP_STATE -> core.checked(connections.id, State.OK, 0, reports.read(m.report()));
+            case TEST -> connections.send(on, of(TESTED, m.call(), 1));
             case TESTED -> {
                 Probe probe = probes.remove(m.call());
                 if (probe != null) {
@@ -356,14 +357,14 @@
         }
     }
 
-    private void answer(Line line, Link on, TrunkMessage m) {
-        Leg leg = byId.get(m.call());
-        if (leg != null && leg.line == line && (leg.stands || leg.on != on)) {
+    private void answer(ServerConnections connections, ServerConnection on, TrunkMessage m) {
+        CallLeg leg = byId.get(m.call());
+        if (leg != null && leg.connections == connections && (leg.stands || leg.on != on)) {
             // A second copy, or the late answer to an earlier attempt, which is released already: to release it
             // again would end the present one, as they share the call's id.
             return;
         }
-        if (leg != null && leg.line == line) {
+        if (leg != null && leg.connections == connections) {
             leg.stands = true;
             if (core.stood(leg.call, leg.copy, m.description(), reports.read(m.report()))) {
                 return;
@@ -371,15 +372,15 @@
             forget(leg);
         }
         // Guards against calls that stand for nobody: the answer crossed the give-up.
-        line.send(on, of(RELEASE, m.call(), NORMAL_CLEARING));
+        connections.send(on, of(RELEASE, m.call(), NORMAL_CLEARING));
     }
 
-    private void ended(Line line, Link on, TrunkMessage m) {
-        Leg leg = byId.get(m.call());
+    private void ended(ServerConnections connections, ServerConnection on, TrunkMessage m) {
+        CallLeg leg = byId.get(m.call());
         if (leg == null && (m.cause() == NORMAL_CLEARING || m.cause() == TEMPORARY_FAILURE) && own.put(m.call(), true) == null) {
             strays.accept(m.call(), m.cause() == NORMAL_CLEARING ? Ending.NORMAL : Ending.CUT);
         }
-        if (leg == null || leg.line != line || !leg.stands && leg.on != on) {
+        if (leg == null || leg.connections != connections || !leg.stands && leg.on != on) {
             // Of no call, or the late end of an earlier attempt: the present one is still out, or has not left.
             return;
         }
@@ -390,7 +391,7 @@
         if (leg.stands) {
             core.over(leg.call, m.cause() == NORMAL_CLEARING ? Ending.NORMAL : Ending.CUT, report);
             if (m.cause() == TEMPORARY_FAILURE) {
-                line.cuts.cut(clock.nowUs()).forEach(core::answer);
+                connections.cuts.cut(clock.nowUs()).forEach(core::answer);
             }
             return;
         }
@@ -401,7 +402,7 @@
             default -> State.RESET_BY_PEER;
         };
         core.ended(leg.call, leg.copy, state, why(m.note()), report);
-        boolean cutBeforeItsAnswer = m.cause() == TEMPORARY_FAILURE && line.cuts.reset(leg.call, clock.nowUs());
+        boolean cutBeforeItsAnswer = m.cause() == TEMPORARY_FAILURE && connections.cuts.reset(leg.call, clock.nowUs());
         if (overBeforeItsAnswer || cutBeforeItsAnswer) {
             // Guards against a second attempt for a call that has stood and is over: its caller has to be told of that
             // within a second, and could be told only together with the end of the second, as they share the call's id.
@@ -421,10 +422,10 @@
         };
     }
 
-    private List<Leg> legs(Line line) {
-        List<Leg> result = new ArrayList<>();
+    private List<CallLeg> legs(ServerConnections connections) {
+        List<CallLeg> result = new ArrayList<>();
         byCall.values().forEach(leg -> {
-            if (leg.line == line) {
+            if (leg.connections == connections) {
                 result.add(leg);
             }
         });
@@ -432,7 +433,7 @@
         return result;
     }
 
-    private void forget(Leg leg) {
+    private void forget(CallLeg leg) {
         byCall.remove(leg.call, leg);
         byId.remove(leg.offer.id(), leg);
         if (leg.on != null) {
@@ -444,22 +445,22 @@
     }
 
     /** One call at one server. */
-    static final class Leg {
+    static final class CallLeg {
         final long call;
         final int copy;
-        final Line line;
+        final ServerConnections connections;
         final Offer<byte[]> offer;
         final TrunkMessage message;
-        Link on;
+        ServerConnection on;
         long sentUs;
         /** The network has its bytes. */
         boolean sent;
         boolean stands;
 
-        Leg(long call, int copy, Line line, Offer<byte[]> offer, TrunkMessage message) {
+        CallLeg(long call, int copy, ServerConnections connections, Offer<byte[]> offer, TrunkMessage message) {
             this.call = call;
             this.copy = copy;
-            this.line = line;
+            this.connections = connections;
             this.offer = offer;
             this.message = message;
         }
