--- a/src/main/java/grebewick/core/CallState.java
+++ b/src/main/java/grebewick/core/CallState.java
@@ -12,8 +12,8 @@
     /** Null: none is open. */
     OpenAttempt attempt;
     boolean answered;
-    /** It can't stand any more, and is yet to be ended. */
-    boolean interrupted;
+    /** Why it can't stand any more, and is yet to be ended; null: it can. */
+    Interruption interruption;
     /** An attempt ended in a way that does not prove that it never ran. */
     boolean mayHaveRun;
     /** Null: it does not stand. */
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -1,6 +1,7 @@
 package grebewick.core;
 
 import grebewick.core.CallControl.*;
+import grebewick.core.EventLog.Event;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,7 @@
     private final Servers<P> servers;
     private final BiConsumer<Integer, byte[]> peers;
     private final Consumer<String> log;
+    private final EventLog eventLog;
     private final CallTable<P> calls = new CallTable<>();
     private final AttemptRules rules;
     private final PendingTimers pendingTimers;
@@ -48,6 +50,7 @@
         this.servers = servers;
         this.peers = peers;
         this.log = log;
+        eventLog = new EventLog(log, clock);
         rules = new AttemptRules(set.bounds());
         pendingTimers = new PendingTimers(timers, () -> runOnce(() -> {}));
         events = new ModuleEvents(module, this::act, log);
@@ -65,7 +68,7 @@
             CallState<P> call = new CallState<>(id, offer, caller, nowUs + Math.max(0, offer.leftUs() - ANSWER_MARGIN_US));
             calls.add(call);
             if (calls.unanswered() > set.bounds().maxOpen()) {
-                answer(call, () -> caller.refused(id, set.bounds().maxRetryAfterUs()));
+                refuse(call, "too-many-open", () -> caller.refused(id, set.bounds().maxRetryAfterUs()));
                 return;
             }
             pendingTimers.add(call.dropDeadUs + GUARD_US, PendingTimers.Kind.END_OF_CALL, id, 0);
@@ -137,6 +140,8 @@
             call.mayHaveRun |= attempt.left;
         }
         call.mayHaveRun |= state == State.FAILED;
+        eventLog.write(Event.ATTEMPT_ENDED, () -> "call=" + EventLog.id(call.offer.id()) + " attempt=" + attempt.copy + " server="
+            + attempt.server + " state=" + state + " left=" + attempt.left + " after-ms=" + (nowUs - attempt.chosenUs) / 1000);
         if (call.answered) {
             calls.remove(call);
         }
@@ -216,6 +221,15 @@
         end(call, state, 0, List.of());
     }
 
+    /** A final answer other than success, and why. */
+    private void refuse(CallState<P> call, String reason, Runnable how) {
+        if (!call.answered) {
+            eventLog.write(Event.CALL_REFUSED, () -> "call=" + EventLog.id(call.offer.id()) + " reason=" + reason + " attempts="
+                + call.copies + " left-ms=" + (call.dropDeadUs - nowUs) / 1000);
+        }
+        answer(call, how);
+    }
+
     /** The one place where a call that does not stand gets its final answer. */
     private void answer(CallState<P> call, Runnable how) {
         if (call.answered) {
@@ -229,10 +243,10 @@
     }
 
     /** Answers at once; an attempt still out is given up, as no answer of it could be passed on. */
-    private void answerNow(long id, Consumer<CallState<P>> how) {
+    private void answerNow(long id, String reason, Consumer<CallState<P>> how) {
         CallState<P> call = calls.find(id);
         if (call != null && !call.answered) {
-            answer(call, () -> how.accept(call));
+            refuse(call, reason, () -> how.accept(call));
             if (call.attempt != null) {
                 giveUp(call, State.CANCELED);
             }
@@ -241,17 +255,17 @@
 
     /** The process ends: who still waits has its answer now. */
     public void answerAll() {
-        runOnce(() -> calls.ids().forEach(this::lastAnswer));
+        runOnce(() -> calls.ids().forEach(id -> lastAnswer(id, "process-ends")));
     }
 
     /** The way to a caller ends from this side: it has its answer now, if it still waits. */
     public void answer(long id) {
-        runOnce(() -> lastAnswer(id));
+        runOnce(() -> lastAnswer(id, "no-second-attempt"));
     }
 
     /** A refusal where no server can have run the call. */
-    private void lastAnswer(long id) {
-        answerNow(id, call -> {
+    private void lastAnswer(long id, String reason) {
+        answerNow(id, reason, call -> {
             if (call.isMaybeRunning()) {
                 call.caller.failed(id);
             } else {
@@ -268,26 +282,28 @@
         runOnce(() -> {
             rules.update(news);
             events.add(news);
-            new TreeMap<>(dead).forEach(this::interrupt);
+            new TreeMap<>(dead).forEach((server, beforeUs) -> interrupt(server, beforeUs, Interruption.GONE_FROM_LIST));
         });
     }
 
     /** The server's process is known to be dead: it refuses connections. */
     public void died(String server) {
-        runOnce(() -> interrupt(server, Long.MAX_VALUE));
+        runOnce(() -> interrupt(server, Long.MAX_VALUE, Interruption.CONNECTION_REFUSED));
     }
 
     /** A call that stood there before {@code beforeUs} can't stand any more. */
-    private void interrupt(String server, long beforeUs) {
-        for (CallState<P> call : calls.standingAt(server, beforeUs)) {
-            if (!call.interrupted) {
-                call.interrupted = true;
-                interruptedCalls.add(call.id);
-            }
-        }
+    private void interrupt(String server, long beforeUs, Interruption why) {
+        calls.standingAt(server, beforeUs).forEach(call -> interrupt(call, why));
         endInterruptedCalls();
     }
 
+    private void interrupt(CallState<P> call, Interruption why) {
+        if (call.interruption == null) {
+            call.interruption = why;
+            interruptedCalls.add(call.id);
+        }
+    }
+
     /** Ends one slice of the calls that were cut; the rest follows in runs of its own, and before what is new. */
     private void endInterruptedCalls() {
         if (interruptedCalls.endSlice(runNo, this::endInterrupted)) {
@@ -298,6 +314,9 @@
     private void endInterrupted(long id) {
         CallState<P> call = calls.find(id);
         if (call != null && call.standsAt != null) {
+            eventLog.write(Event.CALL_ENDED,
+                () -> "call=" + EventLog.id(call.offer.id()) + " server=" + call.standsAt + " reason="
+                    + call.interruption + " stood-ms=" + (nowUs - call.stoodUs) / 1000);
             servers.release(id, call.standsAt);
             finish(call, Ending.CUT, List.of());
         }
@@ -377,7 +396,7 @@
         }
         if (!call.answered) {
             log.accept("guard: call " + id + " had no answer at its end");
-            answer(call, () -> call.caller.failed(id));
+            refuse(call, "no-answer-in-time", () -> call.caller.failed(id));
             events.add(new Hangup(id));
         }
     }
@@ -395,9 +414,9 @@
         } else if (action instanceof Withdraw a) {
             withdraw(a);
         } else if (action instanceof Refuse a) {
-            answerNow(a.call(), call -> call.caller.refused(call.id, a.notBeforeForUs()));
+            answerNow(a.call(), "module-refuses", call -> call.caller.refused(call.id, a.notBeforeForUs()));
         } else if (action instanceof Surrender a) {
-            answerNow(a.call(), call -> call.caller.failed(call.id));
+            answerNow(a.call(), "module-gives-up", call -> call.caller.failed(call.id));
         } else if (action instanceof Remind a) {
             pendingTimers.add(Math.max(a.momentUs(), nowUs + 1), PendingTimers.Kind.REMINDER, 0, a.name());
         } else if (action instanceof AskLoad a) {
--- a/src/main/java/grebewick/trunk/ServerConnection.java
+++ b/src/main/java/grebewick/trunk/ServerConnection.java
@@ -17,6 +17,8 @@
     final Set<Trunk.CallLeg> legs = new LinkedHashSet<>();
     /** Calls that an attempt of ended here before it stood, the latest: a second copy of that end may follow. */
     private final Set<Long> ended = new LinkedHashSet<>();
+    /** Its number among those with this server, in the order in which they came up. */
+    final long number;
     final long sinceUs;
     /** When a whole message last came, or it came up. */
     long heardUs;
@@ -29,14 +31,17 @@
     boolean finishing;
     /** Reset, or closed from this side with the other's end not heard. */
     boolean broken;
+    /** Why this side closed it, for the log; null: the other side did. */
+    String closeReason;
     /** When it was last given a set-up. */
     long usedUs;
     int stuck;
     /** A set-up was given up whose bytes had not been taken by the network. */
     boolean orphan;
 
-    ServerConnection(NetSocket socket, long nowUs) {
+    ServerConnection(NetSocket socket, long number, long nowUs) {
         this.socket = socket;
+        this.number = number;
         sinceUs = nowUs;
         heardUs = nowUs;
         usedUs = nowUs;
@@ -79,6 +84,14 @@
         }
     }
 
+    /** Why it is gone, for the log. */
+    String closeReason() {
+        if (closeReason != null) {
+            return closeReason;
+        }
+        return finishing ? "not-needed" : broken ? "reset" : "closed-by-server";
+    }
+
     /** Set-ups that wait for their answer here. */
     int open() {
         int n = 0;
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -2,6 +2,8 @@
 
 import grebewick.config.Address;
 import grebewick.core.Clock;
+import grebewick.core.EventLog;
+import grebewick.core.EventLog.Event;
 import grebewick.core.Timers;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
@@ -63,6 +65,8 @@
     private final Timers timers;
     private final Owner owner;
     private final Consumer<String> log;
+    private final EventLog eventLog;
+    private long nextNumber = 1;
     private final ArrayDeque<TrunkMessage> owed = new ArrayDeque<>();
     private final List<ServerConnection> open = new ArrayList<>();
     private Address address;
@@ -80,7 +84,7 @@
     private boolean renew;
 
     ServerConnections(String id, Address address, long launchedUs, NetClient client, Quota quota, ServerReconnects reconnects,
-                      Clock clock, Timers timers, Owner owner, Consumer<String> log) {
+                      Clock clock, Timers timers, Owner owner, Consumer<String> log, EventLog eventLog) {
         this.reconnects = reconnects;
         this.id = id;
         this.address = address;
@@ -91,6 +95,7 @@
         this.timers = timers;
         this.owner = owner;
         this.log = log;
+        this.eventLog = eventLog;
     }
 
     /**
@@ -160,16 +165,18 @@
         if (anew) {
             reconnects.restarted();
             // The list is late: what has come up since the start it tells of is the new process's already.
-            List.copyOf(open).stream().filter(l -> moved || l.sinceUs <= launched).forEach(this::retire);
+            String reason = moved ? "server-moved" : "server-started-anew";
+            List.copyOf(open).stream().filter(l -> moved || l.sinceUs <= launched).forEach(old -> retire(old, reason));
             connect();
         }
     }
 
     /** Nothing new goes out there; it is closed once no call is left on it, or after a while. */
-    void retire(ServerConnection connection) {
+    void retire(ServerConnection connection, String reason) {
         if (!connection.retired) {
             connection.retired = true;
-            timers.after(OLD_US, () -> drop(connection));
+            eventLog.write(Event.CONNECTION_RETIRED, () -> describe(connection) + " reason=" + reason);
+            timers.after(OLD_US, () -> drop(connection, "retired-for-long"));
             connect();
         }
     }
@@ -213,9 +220,13 @@
     }
 
     private void begin(NetSocket socket) {
-        ServerConnection connection = new ServerConnection(socket, clock.nowUs());
+        ServerConnection connection = new ServerConnection(socket, nextNumber++, clock.nowUs());
         open.add(connection);
-        unreachable = false;
+        eventLog.write(Event.CONNECTION_OPENED, () -> describe(connection) + " open=" + open.size());
+        if (unreachable) {
+            unreachable = false;
+            eventLog.write(Event.SERVER_STATE, () -> "server=" + id + " state=reachable");
+        }
         refusedBesideOthers = false;
         starved = false;
         socket.handler(bytes -> read(connection, bytes));
@@ -229,7 +240,7 @@
         }
         if (!listed) {
             // Before anything that waits for it goes out there.
-            drop(connection);
+            drop(connection, "server-gone-from-list");
             return;
         }
         owner.up(this);
@@ -251,13 +262,14 @@
             connection.halfUs = !connection.codec.half() ? 0 : connection.halfUs > 0 ? connection.halfUs : now;
         } catch (RuntimeException e) {
             log.accept("trunk " + id + ": closed, as it sent " + e.getMessage());
-            drop(connection);
+            drop(connection, "cannot-be-read");
         }
     }
 
     /** Of no further use: whatever is open on it is lost, now and not when the other side has closed too. */
-    void drop(ServerConnection connection) {
+    void drop(ServerConnection connection, String reason) {
         connection.broken = true;
+        connection.closeReason = reason;
         closed(connection);
         connection.abort();
     }
@@ -271,7 +283,7 @@
             connection.finishing = true;
             connection.retired = true;
             connection.shutdownOutput();
-            timers.after(FAREWELL_US, () -> drop(connection));
+            timers.after(FAREWELL_US, () -> drop(connection, "other-side-does-not-close"));
         }
     }
 
@@ -279,6 +291,8 @@
         if (!open.remove(connection)) {
             return;
         }
+        eventLog.write(Event.CONNECTION_CLOSED,
+            () -> describe(connection) + " reason=" + connection.closeReason() + " left=" + open.size());
         quota.give();
         // Not after a farewell, which leaves nothing on its way.
         renew |= listed && (connection.broken || !connection.finishing);
@@ -296,6 +310,13 @@
         refill();
     }
 
+    /** For the log. */
+    private String describe(ServerConnection connection) {
+        return "server=" + id + " connection=" + connection.number + " age-ms=" + (clock.nowUs() - connection.sinceUs) / 1000
+            + " quiet-ms=" + (clock.nowUs() - connection.heardUs) / 1000 + " set-ups=" + connection.open() + " standing="
+            + (connection.legs.size() - connection.open());
+    }
+
     private int kept() {
         return reconnects.spare(quota.spare(SPARE), clock.nowUs());
     }
@@ -322,12 +343,15 @@
     private void failed(Throwable cause) {
         reconnects.failed(clock.nowUs());
         boolean refused = cause instanceof ConnectException && String.valueOf(cause.getMessage()).contains("refused");
+        eventLog.write(Event.CONNECT_FAILED,
+            () -> "server=" + id + " reason=" + (refused ? "refused" : cause.getClass().getSimpleName()) + " open="
+                + open.size());
         if (!refused) {
             // Guards against a machine that vanished: its connections stay open and silent for ever.
             long doubtUs = clock.nowUs() - DOUBT_US;
             for (ServerConnection connection : List.copyOf(open)) {
                 if (connection.heardUs < doubtUs) {
-                    drop(connection);
+                    drop(connection, "silent-and-connect-failed");
                 }
             }
         }
@@ -338,6 +362,9 @@
     }
 
     private void unreached(boolean dead) {
+        if (!unreachable || dead) {
+            eventLog.write(Event.SERVER_STATE, () -> "server=" + id + " state=" + (dead ? "dead" : "unreachable"));
+        }
         unreachable = true;
         starved = false;
         owner.unreachable(this, dead);
@@ -371,7 +398,7 @@
     private Future<Void> write(ServerConnection connection, TrunkMessage message) {
         if (connection.socket.writeQueueFull() && ++connection.stuck > BACKLOG / TrunkCodec.MOST) {
             log.accept("trunk " + id + ": closed, as it takes nothing any more");
-            drop(connection);
+            drop(connection, "takes-nothing");
             return Future.failedFuture("stuck");
         }
         connection.stuck = connection.socket.writeQueueFull() ? connection.stuck : 0;
@@ -396,7 +423,7 @@
         for (ServerConnection connection : List.copyOf(open)) {
             if (connection.halfUs > 0 && nowUs - connection.halfUs >= HALF_US) {
                 log.accept("trunk " + id + ": closed, as it stopped in the middle of a message");
-                drop(connection);
+                drop(connection, "half-a-message");
             } else if (connection.orphan && connection.isStuck()) {
                 // It got stuck just after.
                 dropOrphan(connection);
@@ -420,7 +447,7 @@
 
     private void dropOrphan(ServerConnection connection) {
         log.accept("trunk " + id + ": closed, as it did not take a set-up that was given up since");
-        drop(connection);
+        drop(connection, "holds-a-set-up-given-up");
     }
 
     void closeIdle() {
@@ -431,6 +458,6 @@
     void gone() {
         listed = false;
         owed.clear();
-        timers.after(GONE_US, () -> List.copyOf(open).forEach(this::drop));
+        timers.after(GONE_US, () -> List.copyOf(open).forEach(c -> drop(c, "server-gone-from-list")));
     }
 }
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -8,6 +8,7 @@
 import grebewick.core.CallControl.State;
 import grebewick.core.Clock;
 import grebewick.core.Ending;
+import grebewick.core.EventLog;
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Servers;
@@ -47,6 +48,7 @@
     private final long probeUs;
     private final long doubtUs;
     private final Consumer<String> log;
+    private final EventLog eventLog;
     private final Map<String, ServerConnections> servers = new TreeMap<>();
     private final Map<Long, CallLeg> byCall = new HashMap<>();
     private final Map<Long, CallLeg> byId = new HashMap<>();
@@ -79,6 +81,7 @@
         this.clock = clock;
         this.timers = timers;
         this.log = log;
+        eventLog = new EventLog(log, clock);
         reports = new Reports(set.report().fields());
         probeUs = Math.max(1000, set.bounds().connectTimeoutUs()) * 2;
         long resendUs = set.familyInfo().resendUs();
@@ -159,7 +162,7 @@
             } else {
                 connections = new ServerConnections(id, e.address(), e.entry().startedAtUs(), client, quota,
                     new ServerReconnects(budget, random),
-                    clock, timers, this, log);
+                    clock, timers, this, log, eventLog);
                 servers.put(id, connections);
                 connections.connect();
             }
@@ -182,7 +185,7 @@
                 forget(leg);
                 core.ended(leg.call, leg.copy, State.IGNORED, 0, List.of());
             } else if (leg.on.unwritten() > 0) {
-                leg.connections.drop(leg.on);
+                leg.connections.drop(leg.on, "holds-a-set-up-for-a-draining-server");
             }
         }
     }
@@ -239,7 +242,7 @@
         if (leg.on.heardUs < leg.sentUs && clock.nowUs() - leg.sentUs > doubtUs) {
             // Guards against a silent, vanished server: only a new connection tells it from a slow one. And against
             // one whose answer got lost: what else it is to send there may be lost too.
-            leg.connections.retire(leg.on);
+            leg.connections.retire(leg.on, "set-up-not-answered");
         }
     }
 
