--- a/src/main/java/grebewick/lab/GatekeeperProcess.java
+++ b/src/main/java/grebewick/lab/GatekeeperProcess.java
@@ -15,9 +15,10 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 
 /** A gatekeeper in a process of its own, and its configuration file: both end with {@link #close}. */
-final class GatekeeperProcess implements AutoCloseable {
+public final class GatekeeperProcess implements AutoCloseable {
     /** What starts one where the command line does not say. */
     static final List<String> COMMAND = List.of("java", "-jar", "target/grebewick.jar", "serve");
     private static final int PATIENCE_S = 20;
@@ -43,22 +44,29 @@
     }
 
     /** The command wanted, or the usual one where none is. */
-    static List<String> commandOr(List<String> wanted) {
+    public static List<String> commandOr(List<String> wanted) {
         return wanted.isEmpty() ? COMMAND : wanted;
     }
 
     /** Starts one without waiting for it; its log is read for the line that it serves, and no further. */
     static GatekeeperProcess launch(List<String> command, GatekeeperConfig config) throws IOException {
+        return launch(command, config, line -> {});
+    }
+
+    /** Starts one without waiting for it; {@code lines} takes its log, on a thread of its own. */
+    public static GatekeeperProcess launch(List<String> command, GatekeeperConfig config, Consumer<String> lines)
+        throws IOException {
         GatekeeperProcess launched = new GatekeeperProcess(new ProcessBuilder(command).redirectErrorStream(true), config);
-        Thread reader = new Thread(launched::readLog, "gatekeeper's log");
+        Thread reader = new Thread(() -> launched.readLog(lines), "gatekeeper's log");
         reader.setDaemon(true);
         reader.start();
         return launched;
     }
 
-    private void readLog() {
+    private void readLog(Consumer<String> lines) {
         try (BufferedReader log = process.inputReader()) {
             for (String line = log.readLine(); line != null; line = log.readLine()) {
+                lines.accept(line);
                 if (line.contains(SERVES)) {
                     servesNs.complete(System.nanoTime());
                 }
@@ -70,7 +78,7 @@
     }
 
     /** ms from its start until it served; empty: it does not by this {@code System.nanoTime()}, or has ended. */
-    OptionalDouble awaitServing(long endNs) throws InterruptedException {
+    public OptionalDouble awaitServing(long endNs) throws InterruptedException {
         try {
             long atNs = servesNs.get(Math.max(0, endNs - System.nanoTime()), TimeUnit.NANOSECONDS);
             return OptionalDouble.of((atNs - startedNs) / 1e6);
@@ -80,10 +88,20 @@
     }
 
     /** Tells it to end, without waiting. */
-    void terminate() {
+    public void terminate() {
         process.destroy();
     }
 
+    /** Whether it still runs. */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Ends it at once, as SIGKILL does. */
+    public void kill() {
+        process.destroyForcibly();
+    }
+
     /** Starts one, and returns once it takes connections; what it logs goes to this process's own streams. */
     static GatekeeperProcess start(List<String> command, GatekeeperConfig config) throws IOException, InterruptedException {
         GatekeeperProcess started = new GatekeeperProcess(new ProcessBuilder(command)
@@ -98,7 +116,7 @@
     }
 
     /** A port of loopback that is free now. */
-    static int freePort() throws IOException {
+    public static int freePort() throws IOException {
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return probe.getLocalPort();
         }
--- a/src/main/java/grebewick/lab/StandInCallers.java
+++ b/src/main/java/grebewick/lab/StandInCallers.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongConsumer;
 
 /**
@@ -63,6 +64,17 @@
         });
     }
 
+    /** All connections are closed in order; {@link #connect} opens others. */
+    public void leave() {
+        List.copyOf(sockets).forEach(NetSocket::close);
+        sockets.clear();
+    }
+
+    /** Calls that stand, as far as the callers know. */
+    public Set<Long> standingCalls() {
+        return Set.copyOf(stood.keySet());
+    }
+
     /** Who is told of each call that is answered with 200, as the answer comes. */
     public void onAnswer(LongConsumer answered) {
         this.answered = answered;
--- a/src/main/java/grebewick/lab/StandInNames.java
+++ b/src/main/java/grebewick/lab/StandInNames.java
@@ -40,6 +40,7 @@
     /** The answer with list {@code serial}; null: it is to be put together. */
     private byte[] listAnswer;
     private long cutAnswers;
+    private boolean silent;
     private volatile Traffic traffic = Traffic.NONE;
 
     /** An empty list, event 1. */
@@ -47,6 +48,9 @@
         serial = 1;
         socket = vertx.createDatagramSocket(new DatagramSocketOptions().setSendBufferSize(1 << 18));
         socket.handler(packet -> {
+            if (silent) {
+                return;
+            }
             try {
                 byte[] answer = answer(new Message(packet.data().getBytes()));
                 traffic = traffic.received(packet.data().length()).sent(answer.length);
@@ -81,6 +85,11 @@
         listAnswer = null;
     }
 
+    /** Whether it leaves questions without an answer. */
+    public void silent(boolean is) {
+        silent = is;
+    }
+
     /** Datagrams and bytes since the start; any thread may ask. */
     public Traffic traffic() {
         return traffic;
--- a/src/main/java/grebewick/lab/StandInServer.java
+++ b/src/main/java/grebewick/lab/StandInServer.java
@@ -68,10 +68,15 @@
 
     /** The process dies: connections are reset, and calls are cut without a word. */
     public Future<Void> die() {
+        vanish();
+        return server.close();
+    }
+
+    /** The machine vanishes: its calls are over, and nothing more is said of them. */
+    public void vanish() {
         standing.clear();
         answered.clear();
         said.clear();
-        return server.close();
     }
 
     /** All calls are cut at once, and released so. */
@@ -86,6 +91,11 @@
         return standing.size();
     }
 
+    /** Calls that were answered and stand. */
+    public Set<Long> answeredCalls() {
+        return Set.copyOf(answered);
+    }
+
     /** Set-ups taken since it was made. */
     public long setUps() {
         return setUps;
--- a/src/test/java/grebewick/play/Dialect.java
+++ b/src/test/java/grebewick/play/Dialect.java
@@ -13,4 +13,9 @@
 
     /** What a party asks, and what it is answered, to show that nothing else has been sent to it. */
     String[] ping();
+
+    /** What any party answers by itself to a message, which a scenario then does not hear of; null: nothing. */
+    default String reply(String message) {
+        return null;
+    }
 }
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -26,6 +26,7 @@
  * Plays a scenario against a program on loopback sockets. A line is {@code PARTY > MESSAGE} (send),
  * {@code PARTY < MESSAGE} (expect; {@code *} at the end stands for any rest), {@code PARTY connects}, {@code PARTY closes},
  * {@code PARTY sees the end}, {@code PARTY listens}, {@code PARTY stops}, {@code PARTY has no more},
+ * {@code PARTY hangs} (it says and answers nothing of itself any more, its connections stay open), {@code PARTY goes on},
  * {@code PARTY reached N} (so many connections with it have come up in all), what an {@linkplain #actor actor} does,
  * {@code loop is late} (what is chosen from now on waits for what has come in to be read), {@code loop is caught-up}, or
  * {@code wait MS}. Expectations wait for the message itself; only {@code wait} lets time pass.
@@ -148,6 +149,8 @@
             case "sees" -> party.expect("(closed)");
             case "listens" -> party.listen();
             case "stops" -> party.stop();
+            case "hangs" -> party.hangs = true;
+            case "goes" -> party.hangs = false;
             case "reached" -> until(() -> party.accepted >= Integer.parseInt(words[2]));
             case "has" -> {
                 party.send(party.dialect.ping()[0]);
@@ -173,6 +176,7 @@
         final Set<NetSocket> open = new LinkedHashSet<>();
         volatile NetSocket socket;
         int accepted;
+        volatile boolean hangs;
 
         Party(String name, Dialect dialect) {
             this.name = name;
@@ -205,8 +209,13 @@
             accepted++;
             socket = socket == null ? s : socket;
             s.handler(dialect.reader(message -> {
-                socket = s;
-                heard.add(message);
+                String reply = dialect.reply(message);
+                if (reply == null) {
+                    socket = s;
+                    heard.add(message);
+                } else if (!hangs) {
+                    s.write(dialect.encode(reply));
+                }
             })::accept);
             s.closeHandler(v -> {
                 open.remove(s);
--- a/src/test/java/grebewick/trunk/TrunkDialect.java
+++ b/src/test/java/grebewick/trunk/TrunkDialect.java
@@ -21,7 +21,7 @@
         boolean answer = w[0].equals("answer");
         return TrunkCodec.encode(new TrunkMessage(TYPES.get(w[0]), call, "", "", -1,
             w[0].equals("release") && w.length > 3 ? w[3] : "", w[0].equals("state") ? w[2] : "",
-            w.length > 2 && w[0].equals("release") || w[0].equals("test") ? Integer.parseInt(w[2]) : -1,
+            w.length > 2 && w[0].equals("release") || w[0].startsWith("test") ? Integer.parseInt(w[2]) : -1,
             answer ? w[2].getBytes(StandardCharsets.UTF_8) : new byte[0]));
     }
 
@@ -39,6 +39,12 @@
         });
     }
 
+    /** Any recipe server answers a test, whatever else the scenario is about. */
+    @Override
+    public String reply(String message) {
+        return message.startsWith("test ") ? "tested " + message.substring("test ".length()) + " 1" : null;
+    }
+
     @Override
     public String[] ping() {
         return new String[] {"test ff 0", "tested ff 1"};
