Calls lean on a lease of their server's process: silence ends them

Besides, connections in doubt were dropped, and with them the only way to tell the old process from another one at its address.

Where tests are forbidden, a further connection shows that the address can be reached, while old ones are written to and not reset. Connections that calls need as evidence are retired and not dropped. A process that ends tells callers of calls at silent servers before it goes.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -137,7 +137,7 @@
                 }
                 new GracefulShutdown(clock, timers, toldUs + STILL_COMING_US + Math.min(longestUs, LONGEST_US), this::pendingWork,
                     this::activity,
-                    Daemon::log, this::answerAll, this::leave).start();
+                    Daemon::log, this::lastWords, this::leave).start();
             });
         });
         try {
@@ -150,9 +150,9 @@
         }
     }
 
-    private void answerAll() {
+    private void lastWords() {
         if (node != null) {
-            node.answerAll();
+            node.lastWords();
         }
         if (diameter != null) {
             diameter.answerAll();
--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -138,9 +138,13 @@
         front.refuseCalls();
     }
 
-    /** Whoever still waits has its answer now. */
-    public void answerAll() {
+    /**
+     * This process is about to end: whoever still waits has its answer now, and calls at servers that have fallen silent are
+     * over. A process that starts after this one knows of neither.
+     */
+    public void lastWords() {
         core.answerAll();
+        trunk.endCallsOfSilentServers();
     }
 
     /** Calls that wait, have an attempt out or stand. */
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -3,6 +3,7 @@
 import grebewick.core.CallControl.*;
 import grebewick.core.EventLog.Event;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -291,6 +292,19 @@
         runOnce(() -> interrupt(server, Long.MAX_VALUE, Interruption.CONNECTION_REFUSED));
     }
 
+    /** Calls that can't stand any more. */
+    public void interrupted(Collection<Long> ids, Interruption why) {
+        runOnce(() -> {
+            for (long id : ids) {
+                CallState<P> call = calls.find(id);
+                if (call != null && call.standsAt != null) {
+                    interrupt(call, why);
+                }
+            }
+            endInterruptedCalls();
+        });
+    }
+
     /** A call that stood there before {@code beforeUs} can't stand any more. */
     private void interrupt(String server, long beforeUs, Interruption why) {
         calls.standingAt(server, beforeUs).forEach(call -> interrupt(call, why));
--- a/src/main/java/grebewick/lifecycle/GracefulShutdown.java
+++ b/src/main/java/grebewick/lifecycle/GracefulShutdown.java
@@ -13,8 +13,8 @@
 public final class GracefulShutdown {
     /** us. Between looks: long enough for the loop to have read what is there. */
     static final long LOOK_US = 20_000;
-    /** us. Before its time is up, when whoever still waits is answered: in time for the answers to be written. */
-    static final long ANSWER_US = 200_000;
+    /** us. Before its time is up, when its last words are due: in time for them to be written. */
+    static final long LAST_WORDS_US = 200_000;
     /** Looks in a row that must find nothing owed and nothing new. */
     private static final int QUIET = 2;
 
@@ -24,26 +24,27 @@
     private final Supplier<PendingWork> pendingWork;
     private final Supplier<ActivityCount> activity;
     private final Consumer<String> log;
-    private final Runnable answer;
+    private final Runnable lastWords;
     private final Runnable go;
-    private boolean answered;
+    private boolean lastWordsSaid;
     private int quiet;
     private ActivityCount before;
 
     /**
-     * {@code endUs}: when it has to be gone; {@code answer} answers all that wait, {@code go} is run once, at its end. By
-     * the clock: looks come late, each by up to a millisecond and more under load, and add up to more than is kept back.
+     * {@code endUs}: when it has to be gone, by the clock: looks come late, each by up to a millisecond and more under load, and
+     * add up to more than is kept back. {@code lastWords} tells what this process alone can tell: it answers all that wait, and
+     * ends calls that nobody else will end. {@code go} is run once, at its end.
      */
     public GracefulShutdown(Clock clock, Timers timers, long endUs, Supplier<PendingWork> pendingWork,
                             Supplier<ActivityCount> activity, Consumer<String> log,
-                            Runnable answer, Runnable go) {
+                            Runnable lastWords, Runnable go) {
         this.clock = clock;
         this.timers = timers;
         this.endUs = endUs;
         this.pendingWork = pendingWork;
         this.activity = activity;
         this.log = log;
-        this.answer = answer;
+        this.lastWords = lastWords;
         this.go = go;
     }
 
@@ -55,10 +56,10 @@
 
     private void look() {
         long leftUs = endUs - clock.nowUs();
-        if (leftUs <= ANSWER_US && !answered && pendingWork.get().unanswered() > 0) {
-            // Guards requests with a deadline longer than the time given: none is lost with the process.
-            answered = true;
-            answer.run();
+        if (leftUs <= LAST_WORDS_US && !lastWordsSaid) {
+            // Guards requests with a deadline longer than the time given, and calls at servers that are gone.
+            lastWordsSaid = true;
+            lastWords.run();
         }
         ActivityCount now = activity.get();
         PendingWork owed = pendingWork.get();
--- a/src/main/java/grebewick/trunk/ServerConnection.java
+++ b/src/main/java/grebewick/trunk/ServerConnection.java
@@ -1,5 +1,6 @@
 package grebewick.trunk;
 
+import grebewick.liveness.ProcessLease;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.vertx.core.internal.net.NetSocketInternal;
@@ -19,6 +20,8 @@
     private final Set<Long> ended = new LinkedHashSet<>();
     /** Its number among those with this server, in the order in which they came up. */
     final long number;
+    /** The process that it reaches, as far as is known. */
+    final ProcessLease process;
     final long sinceUs;
     /** When a whole message last came, or it came up. */
     long heardUs;
@@ -33,15 +36,20 @@
     boolean broken;
     /** Why this side closed it, for the log; null: the other side did. */
     String closeReason;
+    /** Opened to show that the address can be reached, and not needed for calls. */
+    boolean isCheck;
+    /** When its process was last probed on it. */
+    long probedUs;
     /** When it was last given a set-up. */
     long usedUs;
     int stuck;
     /** A set-up was given up whose bytes had not been taken by the network. */
     boolean orphan;
 
-    ServerConnection(NetSocket socket, long number, long nowUs) {
+    ServerConnection(NetSocket socket, long number, ProcessLease process, long nowUs) {
         this.socket = socket;
         this.number = number;
+        this.process = process;
         sinceUs = nowUs;
         heardUs = nowUs;
         usedUs = nowUs;
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -5,6 +5,9 @@
 import grebewick.core.EventLog;
 import grebewick.core.EventLog.Event;
 import grebewick.core.Timers;
+import grebewick.liveness.LeaseTimes;
+import grebewick.liveness.ProcessLease;
+import grebewick.liveness.ProcessTracker;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
@@ -40,6 +43,10 @@
     /** Bytes not yet taken by the network above which a connection counts as stuck. */
     private static final int BACKLOG = 1 << 20;
     private static final int MOST_OWED = 10_000;
+    /** us. Age of what was heard on another connection up to which this one is not needed to show that a process lives. */
+    private static final long EVIDENCE_US = 1_500_000;
+    /** us. Between looks whether a connection is still needed. */
+    private static final long EVIDENCE_LOOK_US = 1_000_000;
 
     /** What connections tell its owner. */
     interface Owner {
@@ -48,14 +55,27 @@
         /** Whatever was open on that connection is given up. */
         void lost(ServerConnections connections, ServerConnection connection);
 
+        /** Set-ups that are open on that connection are given up; it stays, as standing calls need it. */
+        void giveUpSetUps(ServerConnection connection);
+
         /** No connection came up; {@code dead}: nothing listens, and no connection is left: the process is gone. */
         void unreachable(ServerConnections connections, boolean dead);
 
         void up(ServerConnections connections);
+
+        /** Writes something that asks for nothing: who does not know the connection resets it. */
+        void keepAlive(ServerConnection connection);
+
+        /** A process with calls has been silent: it is to show that it lives, on {@code on}. */
+        void probe(ServerConnections connections, ServerConnection on);
+
+        /** A process has been silent for so long that the calls that stand there are over. */
+        void lost(ServerConnections connections, ProcessLease process);
     }
 
     final String id;
     final CutDetector cuts = new CutDetector();
+    final ProcessTracker processes = new ProcessTracker(LeaseTimes.DEFAULT);
     long launchedUs;
     /** The list says so: it ends its calls, and gets no more. */
     boolean drains;
@@ -73,6 +93,8 @@
     private boolean connecting;
     private boolean listed = true;
     private final ServerReconnects reconnects;
+    /** Null: servers may be tested. */
+    private final AddressCheck addressCheck;
     private Runnable cancelRetry = () -> {};
     private long retryUs = Long.MAX_VALUE;
     private boolean unreachable;
@@ -84,8 +106,9 @@
     private boolean renew;
 
     ServerConnections(String id, Address address, long launchedUs, NetClient client, Quota quota, ServerReconnects reconnects,
-                      Clock clock, Timers timers, Owner owner, Consumer<String> log, EventLog eventLog) {
+                      Clock clock, Timers timers, NetClient checkClient, Owner owner, Consumer<String> log, EventLog eventLog) {
         this.reconnects = reconnects;
+        addressCheck = checkClient == null ? null : new AddressCheck(checkClient, quota, this::reached);
         this.id = id;
         this.address = address;
         this.launchedUs = launchedUs;
@@ -164,6 +187,9 @@
         launchedUs = Math.max(launched, launchedUs);
         if (anew) {
             reconnects.restarted();
+            if (moved) {
+                processes.moved();
+            }
             // The list is late: what has come up since the start it tells of is the new process's already.
             String reason = moved ? "server-moved" : "server-started-anew";
             List.copyOf(open).stream().filter(l -> moved || l.sinceUs <= launched).forEach(old -> retire(old, reason));
@@ -176,11 +202,31 @@
         if (!connection.retired) {
             connection.retired = true;
             eventLog.write(Event.CONNECTION_RETIRED, () -> describe(connection) + " reason=" + reason);
-            timers.after(OLD_US, () -> drop(connection, "retired-for-long"));
+            timers.after(OLD_US, () -> dropRetired(connection));
             connect();
         }
     }
 
+    /**
+     * What is open on a connection that takes nothing new has had its time. Standing calls may still need it: the only way to
+     * tell their process from another one at its address is a connection that reaches it.
+     */
+    private void dropRetired(ServerConnection connection) {
+        if (!isNeededAsEvidence(connection)) {
+            drop(connection, "retired-for-long");
+        } else if (open.contains(connection)) {
+            timers.after(EVIDENCE_LOOK_US, () -> dropRetired(connection));
+        }
+    }
+
+    /** Whether calls lean on its process, which no other connection has shown to be alive just now. */
+    private boolean isNeededAsEvidence(ServerConnection connection) {
+        ProcessLease process = connection.process.current();
+        long freshUs = clock.nowUs() - EVIDENCE_US;
+        return process.hasCalls() && open.stream()
+            .noneMatch(other -> other != connection && other.process.current() == process && other.heardUs >= freshUs);
+    }
+
     /** Opens one more connection, if it may be tried now. */
     void connect() {
         connect(false);
@@ -219,8 +265,16 @@
         });
     }
 
+    /** A connection that was opened to show that the address can be reached. */
+    private void reached(NetSocket socket) {
+        begin(socket);
+        open.get(open.size() - 1).isCheck = true;
+        processes.reached(clock.nowUs());
+    }
+
     private void begin(NetSocket socket) {
-        ServerConnection connection = new ServerConnection(socket, nextNumber++, clock.nowUs());
+        ServerConnection connection = new ServerConnection(socket, nextNumber++, processes.connected(clock.nowUs()),
+            clock.nowUs());
         open.add(connection);
         eventLog.write(Event.CONNECTION_OPENED, () -> describe(connection) + " open=" + open.size());
         if (unreachable) {
@@ -252,6 +306,7 @@
             return;
         }
         long now = clock.nowUs();
+        processes.heard(connection.process, now);
         try {
             connection.codec.read(bytes, message -> {
                 connection.heardUs = now;
@@ -293,6 +348,7 @@
         }
         eventLog.write(Event.CONNECTION_CLOSED,
             () -> describe(connection) + " reason=" + connection.closeReason() + " left=" + open.size());
+        processes.disconnected(connection.process, clock.nowUs());
         quota.give();
         // Not after a farewell, which leaves nothing on its way.
         renew |= listed && (connection.broken || !connection.finishing);
@@ -351,7 +407,7 @@
             long doubtUs = clock.nowUs() - DOUBT_US;
             for (ServerConnection connection : List.copyOf(open)) {
                 if (connection.heardUs < doubtUs) {
-                    drop(connection, "silent-and-connect-failed");
+                    doubt(connection);
                 }
             }
         }
@@ -361,6 +417,16 @@
         refill();
     }
 
+    /** It has been silent, and no further one comes up: nothing that is open on it waits any longer. */
+    private void doubt(ServerConnection connection) {
+        if (!isNeededAsEvidence(connection)) {
+            drop(connection, "silent-and-connect-failed");
+        } else if (!connection.retired) {
+            retire(connection, "silent-and-connect-failed");
+            owner.giveUpSetUps(connection);
+        }
+    }
+
     private void unreached(boolean dead) {
         if (!unreachable || dead) {
             eventLog.write(Event.SERVER_STATE, () -> "server=" + id + " state=" + (dead ? "dead" : "unreachable"));
@@ -420,6 +486,12 @@
 
     /** Closes what stopped in the middle of a message, and what is not needed. */
     void sweep(long nowUs) {
+        for (ProcessTracker.Due due : processes.due(nowUs)) {
+            switch (due.action()) {
+                case PROBE -> probe(due.process(), nowUs);
+                case EXPIRE -> expire(due.process(), nowUs);
+            }
+        }
         for (ServerConnection connection : List.copyOf(open)) {
             if (connection.halfUs > 0 && nowUs - connection.halfUs >= HALF_US) {
                 log.accept("trunk " + id + ": closed, as it stopped in the middle of a message");
@@ -427,13 +499,49 @@
             } else if (connection.orphan && connection.isStuck()) {
                 // It got stuck just after.
                 dropOrphan(connection);
-            } else if (connection.legs.isEmpty()
-                && (connection.retired || usable() > kept() && nowUs - connection.usedUs >= UNUSED_US)) {
+            } else if (connection.legs.isEmpty() && !isNeededAsEvidence(connection)
+                && (connection.retired || connection.isCheck && connection.heard && usable() > 1
+                    || usable() > kept() && nowUs - connection.usedUs >= UNUSED_US)) {
                 finish(connection);
             }
         }
     }
 
+    /** Each connection in turn: one that lost its way must not hide that the process lives. */
+    private void probe(ProcessLease process, long nowUs) {
+        if (addressCheck != null) {
+            open.stream().filter(c -> c.process.current() == process && !c.finishing).toList().forEach(owner::keepAlive);
+            if (listed) {
+                addressCheck.open(address);
+            }
+            return;
+        }
+        ServerConnection eldest = null;
+        for (ServerConnection connection : open) {
+            if (connection.process.current() == process && !connection.finishing
+                && (eldest == null || connection.probedUs < eldest.probedUs)) {
+                eldest = connection;
+            }
+        }
+        if (eldest != null) {
+            eldest.probedUs = nowUs;
+            owner.probe(this, eldest);
+        } else if (open.isEmpty()) {
+            connect();
+        }
+    }
+
+    private void expire(ProcessLease process, long nowUs) {
+        eventLog.write(Event.SERVER_STATE, () -> "server=" + id + " process=" + process.number() + " state=lost quiet-ms="
+            + (nowUs - process.heardUs()) / 1000 + " standing=" + process.calls());
+        for (ServerConnection connection : List.copyOf(open)) {
+            if (connection.process.current() == process) {
+                retire(connection, "process-lost");
+            }
+        }
+        owner.lost(this, process);
+    }
+
     /**
      * A set-up of this connection was given up. Guards against its being sent on much later, when the connection takes
      * bytes again: they can't be taken back from it, nor those that left before, but half a set-up is none.
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -10,9 +10,11 @@
 import grebewick.core.Ending;
 import grebewick.core.EventLog;
 import grebewick.core.Gatekeeper;
+import grebewick.core.Interruption;
 import grebewick.core.Offer;
 import grebewick.core.Servers;
 import grebewick.core.Timers;
+import grebewick.liveness.ProcessLease;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
@@ -34,6 +36,8 @@
 public final class Trunk implements Servers<byte[]>, ServerConnections.Owner {
     /** us. Silence after a set-up that casts doubt on a connection, at the most: sooner where repeats are due sooner. */
     private static final long DOUBT_US = 500_000;
+    /** The id in messages that concern no call. */
+    private static final long NO_CALL = 0;
     private static final int MOST_OWN = 4_000;
     /** us. How often stopped and unneeded connections are looked for. */
     private static final long SWEEP_US = 100_000;
@@ -41,6 +45,8 @@
     private final Clock clock;
     private final Timers timers;
     private final NetClient client;
+    /** Null: servers may be tested. */
+    private final NetClient checkClient;
     private final Quota quota;
     private final ReconnectBudget budget;
     private final RandomGenerator random;
@@ -88,6 +94,8 @@
         doubtUs = resendUs > 0 ? Math.min(DOUBT_US, resendUs) : DOUBT_US;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, set.bounds().connectTimeoutUs() / 1000)));
+        checkClient = set.bounds().probes() ? null : vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
+            .setConnectTimeout(AddressCheck.CONNECT_MS));
         timers.after(SWEEP_US, this::sweep);
     }
 
@@ -127,7 +135,7 @@
 
     /** Closes all connections. */
     public Future<Void> close() {
-        return client.close();
+        return checkClient == null ? client.close() : Future.join(client.close(), checkClient.close()).mapEmpty();
     }
 
     /** Names the core that is told what happens. */
@@ -162,7 +170,7 @@
             } else {
                 connections = new ServerConnections(id, e.address(), e.entry().startedAtUs(), client, quota,
                     new ServerReconnects(budget, random),
-                    clock, timers, this, log, eventLog);
+                    clock, timers, checkClient, this, log, eventLog);
                 servers.put(id, connections);
                 connections.connect();
             }
@@ -228,9 +236,12 @@
     @Override
     public void giveUp(long call, int copy, String server) {
         CallLeg leg = byCall.get(call);
-        if (leg == null || leg.stands) {
-            return;
+        if (leg != null && !leg.stands) {
+            giveUp(leg);
         }
+    }
+
+    private void giveUp(CallLeg leg) {
         forget(leg);
         if (leg.on != null && !leg.sent) {
             leg.connections.orphan(leg.on);
@@ -337,6 +348,48 @@
         }
     }
 
+    @Override
+    public void giveUpSetUps(ServerConnection connection) {
+        for (CallLeg leg : List.copyOf(connection.legs)) {
+            if (!leg.stands) {
+                giveUp(leg);
+                core.ended(leg.call, leg.copy, State.RESET_BY_PEER, 0, List.of());
+            }
+        }
+    }
+
+    @Override
+    public void keepAlive(ServerConnection connection) {
+        connection.socket.write(TrunkCodec.encode(of(RELEASED, NO_CALL, -1)));
+    }
+
+    @Override
+    public void probe(ServerConnections connections, ServerConnection on) {
+        connections.send(on, of(TEST, nextProbe++, 0));
+    }
+
+    @Override
+    public void lost(ServerConnections connections, ProcessLease process) {
+        core.interrupted(callsAt(process), Interruption.SERVER_SILENT);
+    }
+
+    private List<Long> callsAt(ProcessLease process) {
+        return byCall.values().stream().filter(leg -> leg.process != null && leg.process.current() == process)
+            .map(leg -> leg.call).sorted().toList();
+    }
+
+    /**
+     * This process is about to end: calls at servers that are silent are over now, as nobody will be there to tell their
+     * callers later.
+     */
+    public void endCallsOfSilentServers() {
+        for (ServerConnections connections : servers.values()) {
+            for (ProcessLease process : connections.processes.suspects(clock.nowUs())) {
+                core.interrupted(callsAt(process), Interruption.SERVER_SILENT);
+            }
+        }
+    }
+
     @Override
     public void message(ServerConnections connections, ServerConnection on, TrunkMessage m) {
         taken++;
@@ -369,6 +422,8 @@
         }
         if (leg != null && leg.connections == connections) {
             leg.stands = true;
+            leg.process = on.process.current();
+            connections.processes.callStands(leg.process);
             if (core.stood(leg.call, leg.copy, m.description(), reports.read(m.report()))) {
                 return;
             }
@@ -439,6 +494,10 @@
     private void forget(CallLeg leg) {
         byCall.remove(leg.call, leg);
         byId.remove(leg.offer.id(), leg);
+        if (leg.process != null) {
+            leg.connections.processes.callEnds(leg.process);
+            leg.process = null;
+        }
         if (leg.on != null) {
             leg.on.legs.remove(leg);
             if (!leg.stands) {
@@ -455,6 +514,8 @@
         final Offer<byte[]> offer;
         final TrunkMessage message;
         ServerConnection on;
+        /** Where it stands; null: it does not. */
+        ProcessLease process;
         long sentUs;
         /** The network has its bytes. */
         boolean sent;
--- a/src/test/java/grebewick/RestartTest.java
+++ b/src/test/java/grebewick/RestartTest.java
@@ -86,7 +86,7 @@
             long endUs = s.clock.nowUs() + 3_700_000;
             s.clock.after(700_000, () -> {
                 one.refuseCalls();
-                new GracefulShutdown(s.clock, s.clock, endUs, one::pendingWork, one::activity, log::add, one::answerAll,
+                new GracefulShutdown(s.clock, s.clock, endUs, one::pendingWork, one::activity, log::add, one::lastWords,
                     () -> ended = true).start();
             });
             return null;
@@ -156,7 +156,11 @@
             c < BYE 02 16
             wait 500
             c < BYE 02 16
-            wait 2700
+            wait 900
+            s1 has no more
+            wait 900
+            s1 has no more
+            wait 900
             n0 has ended""");
         assertThat(log)
             .contains("ends: its time is up; left behind: 1 calls standing, 0 unanswered, 0 ends untold, 0 bytes unwritten");
--- a/src/test/java/grebewick/VanishedServerTest.java
+++ b/src/test/java/grebewick/VanishedServerTest.java
@@ -6,6 +6,7 @@
 import grebewick.config.Endpoint;
 import grebewick.config.NodeConfig;
 import grebewick.core.CallControl.Stage;
+import grebewick.lifecycle.GracefulShutdown;
 import grebewick.play.Scenario;
 import grebewick.play.Sites;
 import grebewick.sip.SipDialect;
@@ -67,6 +68,21 @@
         s.until(() -> node.calls() == 0);
     }
 
+    /** Nobody else could tell it later: the process that comes after this one does not know the call. */
+    @Test
+    void aGatekeeperThatEndsTellsItBefore() {
+        s.play("s1 hangs");
+        passes(1_500);
+        boolean[] ended = {false};
+        s.on(() -> {
+            new GracefulShutdown(s.clock, s.clock, s.clock.nowUs() + 1_000_000, node::pendingWork, node::activity, log::add,
+                node::lastWords, () -> ended[0] = true).start();
+            return null;
+        });
+        s.play("wait 900\n c < BYE 01 41\n c > 200 BYE 01\n c has no more\n wait 200");
+        s.until(() -> ended[0]);
+    }
+
     @Test
     void aCallAtAServerThatAnswersStands() {
         passes(3 * TOLD_WITHIN_MS);
--- a/src/test/java/grebewick/trunk/TrunkDialect.java
+++ b/src/test/java/grebewick/trunk/TrunkDialect.java
@@ -29,6 +29,10 @@
     public Consumer<Buffer> reader(Consumer<String> each) {
         TrunkCodec codec = new TrunkCodec();
         return bytes -> codec.read(bytes, m -> {
+            if (m.type() == TYPES.get("released") && m.call() == 0) {
+                // Keeps a connection alive, and is no part of a scenario.
+                return;
+            }
             String name = TYPES.entrySet().stream().filter(e -> e.getValue() == m.type()).findFirst().orElseThrow().getKey();
             String rest = switch (name) {
                 case "set-up" -> " " + m.tier() + " " + m.number() + " " + new String(m.description(), StandardCharsets.UTF_8);
