Replica: an answer ends once its last message has left, whoever continues it

Seen: ReplicaServerTest.anAnswerThatHasBegunIsFinishedAtTheEnd failed once with an end in the middle of a message, beside a second run of the tests.

TransferReuseTest failed once in the same run: its stand-in took for UDP the port that TCP was given, which another process had. It takes another now, as ReplicaServer does.

--- a/src/main/java/grebewick/discovery/replica/ClientConnection.java
+++ b/src/main/java/grebewick/discovery/replica/ClientConnection.java
@@ -45,6 +45,10 @@
     private boolean closed;
     private long answerEndUs;
     private Runnable deadline = () -> {};
+    /** The write of the latest message: the answer has left once this has. */
+    private Future<Void> lastWrite = Future.succeededFuture();
+    /** Answers begun. What was put off for an earlier one must not end the present one. */
+    private long answerNumber;
 
     ClientConnection(NetSocket socket, ReplicaState state, ServerLimits limits, Clock clock, Timers timers,
                      Consumer<Runnable> nextTurn) {
@@ -105,6 +109,7 @@
             return;
         }
         answering = true;
+        answerNumber++;
         socket.pause();
         answerEndUs = clock.nowUs() + limits.answerUs();
         try {
@@ -122,11 +127,10 @@
     }
 
     private void write() {
-        Future<Void> last = Future.succeededFuture();
         for (int i = 0; i < MESSAGES_PER_TURN && !closed && messages.hasNext() && !socket.writeQueueFull(); i++) {
             Buffer framed = Buffer.buffer(MessageFraming.frame(messages.next()));
             state.sent(framed.length());
-            last = socket.write(framed);
+            lastWrite = socket.write(framed);
         }
         if (closed) {
             return;
@@ -134,7 +138,9 @@
         long leftUs = answerEndUs - clock.nowUs();
         closeAfter(Math.max(1, Math.min(limits.stalledUs(), leftUs)));
         if (!messages.hasNext()) {
-            last.onSuccess(written -> answered());
+            // Both the next turn and a drained queue may come here: the answer ends once.
+            long number = answerNumber;
+            lastWrite.onSuccess(written -> answered(number));
         } else if (socket.writeQueueFull()) {
             socket.drainHandler(drained -> write());
         } else {
@@ -142,8 +148,8 @@
         }
     }
 
-    private void answered() {
-        if (closed) {
+    private void answered(long number) {
+        if (closed || !answering || number != answerNumber) {
             return;
         }
         endTransfer();
--- a/src/test/java/grebewick/discovery/transfer/LoopbackReplica.java
+++ b/src/test/java/grebewick/discovery/transfer/LoopbackReplica.java
@@ -1,5 +1,7 @@
 package grebewick.discovery.transfer;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import grebewick.config.Address;
 import grebewick.play.Scenario;
 import io.vertx.core.buffer.Buffer;
@@ -32,6 +34,8 @@
         MUTE
     }
 
+    private static final int PORT_TRIES = 20;
+
     private final SimReplica sim;
     private final DatagramSocket udp;
     private final Set<NetSocket> open = new HashSet<>();
@@ -41,15 +45,26 @@
 
     /** Listens on loopback, and takes over what the primary has. */
     LoopbackReplica(Scenario s, SimPrimary primary, String zone) {
-        NetServer tcp = s.on(() -> s.vertx.createNetServer().connectHandler(this::serve));
-        int port = s.await(() -> tcp.listen(0, "127.0.0.1")).actualPort();
         udp = s.on(() -> s.vertx.createDatagramSocket());
         udp.handler(this::answer);
-        s.await(() -> udp.listen(port, "127.0.0.1"));
+        int port = listen(s, PORT_TRIES);
         sim = new SimReplica(new Replica(new Address("127.0.0.1", port), "east", zone), primary);
         sim.refresh();
     }
 
+    /** Gives a port for both: what TCP was given may be taken for UDP, by another process for one. */
+    private int listen(Scenario s, int tries) {
+        NetServer tcp = s.on(() -> s.vertx.createNetServer().connectHandler(this::serve));
+        int port = s.await(() -> tcp.listen(0, "127.0.0.1")).actualPort();
+        boolean bound = s.await(() -> udp.listen(port, "127.0.0.1").map(true).otherwise(false));
+        if (bound) {
+            return port;
+        }
+        assertThat(tries).as("a port that is free for TCP and UDP is found").isPositive();
+        s.await(tcp::close);
+        return listen(s, tries - 1);
+    }
+
     Replica replica() {
         return sim.replica;
     }
