Diameter: sessions at a server that stays away are over, and their clients told

A server that never came back left its sessions standing, and no client was told. Now a server that is not connected and was not heard for the lease of 7.2 s loses them: ASR to the client at once, STR to the server once it is back. One that reconnects before keeps them. While a connection is open and silent the watchdog decides, which RFC 3539 does not let ask more often than each 6 s: that part stays slower than 8 s.

--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -8,10 +8,12 @@
 import grebewick.core.Clock;
 import grebewick.core.Ending;
 import grebewick.core.Gatekeeper;
+import grebewick.core.Interruption;
 import grebewick.core.Offer;
 import grebewick.core.Servers;
 import grebewick.core.Timers;
 import grebewick.diameter.SessionTeardowns.Cause;
+import grebewick.liveness.LeaseTimes;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
@@ -23,6 +25,7 @@
 
 /** The core's port to the authorising servers: sessions are asked for, answered and ended there. */
 final class DiameterServers implements Servers<DiameterMessage>, ServerPeer.Listener {
+    private final Clock clock;
     private final Timers timers;
     private final Consumer<String> log;
     private final Map<String, ServerPeer> peers = new TreeMap<>();
@@ -33,6 +36,7 @@
 
     DiameterServers(Vertx vertx, DiameterConfig config, Identity me, Clock clock, Timers timers, Consumer<String> log) {
         this.me = me;
+        this.clock = clock;
         this.timers = timers;
         this.log = log;
         teardowns = new SessionTeardowns(me, clock, timers);
@@ -200,6 +204,18 @@
     public void closed(ServerPeer peer, Connection on) {
         teardowns.lost(on);
         tell(Scope.COMPLETE, Map.of());
+        long silentUs = clock.nowUs() - peer.heardUs();
+        timers.after(Math.max(1, LeaseTimes.DEFAULT.leaseUs() - silentUs), () -> lose(peer));
+    }
+
+    /**
+     * A peer that is away keeps its sessions for a while (RFC 6733, section 8.16), but nobody would tell their clients if it
+     * never came back: then they are over, and their STRs wait for it.
+     */
+    private void lose(ServerPeer peer) {
+        if (!peer.isOpen() && clock.nowUs() - peer.heardUs() >= LeaseTimes.DEFAULT.leaseUs()) {
+            core.interrupted(sessions.callsAt(peer), Interruption.SERVER_SILENT);
+        }
     }
 
     @Override
--- a/src/main/java/grebewick/diameter/ServerPeer.java
+++ b/src/main/java/grebewick/diameter/ServerPeer.java
@@ -40,6 +40,7 @@
     private boolean draining;
     private boolean stopping;
     private long startedAtUs;
+    private long heardUs;
     /** Its largest Origin-State-Id so far; 0: it has told none. */
     private long stateId;
 
@@ -74,6 +75,11 @@
         return startedAtUs;
     }
 
+    /** us. When it last said anything. */
+    long heardUs() {
+        return heardUs;
+    }
+
     /** What the list says of it. */
     ServerEntry entry() {
         boolean ready = watchdog.state() == Watchdog.State.OKAY && !draining;
@@ -107,6 +113,7 @@
     @Override
     public void open(Connection c) {
         draining = false;
+        heardUs = clock.nowUs();
         noteStateId(c);
         listener.opened(this, c);
         watchdog.up();
@@ -138,6 +145,7 @@
 
     @Override
     public void heard(Connection c, DiameterMessage m) {
+        heardUs = clock.nowUs();
         watchdog.heard(!m.isRequest() && m.command() == DiameterMessage.DEVICE_WATCHDOG);
         noteStateId(c);
     }
--- a/src/main/java/grebewick/diameter/ServerSessions.java
+++ b/src/main/java/grebewick/diameter/ServerSessions.java
@@ -1,6 +1,7 @@
 package grebewick.diameter;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** The sessions at all servers, by the core's number of the call and by Session-Id. */
@@ -35,6 +36,11 @@
         return byCall.remove(session.call, session);
     }
 
+    /** The core's numbers of the calls whose sessions are at one server. */
+    List<Long> callsAt(ServerPeer server) {
+        return byCall.values().stream().filter(session -> session.at == server).map(session -> session.call).sorted().toList();
+    }
+
     /** Forgets all that are at one server and under their Session-Id. */
     void removeAllAt(ServerPeer server) {
         byCall.values().removeIf(session -> session.at == server && byId.remove(session.id, session));
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -373,6 +373,53 @@
             p1 > STA s""").until(() -> node.pendingTeardowns() == 0);
     }
 
+    /** Guards clients against sessions at a server that is gone for good: nobody else would tell them. */
+    @Test
+    void aClientIsToldOfItsSessionAtAServerThatStaysAway() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > AAA s 2001
+            c < AAA s 2001
+            p1 stops""").until(() -> logged("p1 OKAY -> DOWN")).play("""
+            wait 7000
+            c has no more
+            wait 201
+            c < ASR s
+            c > ASA s
+            c > STR s
+            c < STA s 2001""");
+        assertThat(s.on(() -> node.pendingTeardowns())).as("the STR waits for the server").isEqualTo(1);
+        s.play("""
+            p1 listens
+            wait 1000
+            p1 < CER
+            p1 > CEA
+            p1 < STR s
+            p1 > STA s""").until(() -> node.pendingTeardowns() == 0);
+    }
+
+    /** A session outlasts the connection that it was opened on. */
+    @Test
+    void aSessionAtAServerThatIsBackInTimeStands() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > AAA s 2001
+            c < AAA s 2001
+            p1 closes""").until(() -> logged("p1 OKAY -> DOWN")).play("""
+            wait 1001
+            p1 < CER
+            p1 > CEA
+            p1 < DWR
+            wait 8000
+            c has no more
+            c > STR s
+            c < STA s 2001
+            p1 < STR s
+            p1 > STA s""");
+    }
+
     /** Guards clients against sessions that ended while they were away. */
     @Test
     void aClientThatComesBackIsToldOfTheEndOfItsSession() {
