--- a/src/main/java/grebewick/lab/GatekeeperProcess.java
+++ b/src/main/java/grebewick/lab/GatekeeperProcess.java
@@ -105,6 +105,11 @@
         return process.isAlive();
     }
 
+    /** Waits for its end; false: it still runs. */
+    public boolean awaitExit(int seconds) throws InterruptedException {
+        return process.waitFor(seconds, TimeUnit.SECONDS);
+    }
+
     /** Ends it at once, as SIGKILL does. */
     public void kill() {
         process.destroyForcibly();
--- a/src/main/java/grebewick/lab/StandInCallers.java
+++ b/src/main/java/grebewick/lab/StandInCallers.java
@@ -31,9 +31,25 @@
     private final List<Long> answerUs = new ArrayList<>();
     private final Map<Long, Long> overUs = new HashMap<>();
     private LongConsumer answered = id -> {};
+    private Observer observer = new Observer() {};
     private NetClient client;
     private long next = 1;
 
+    /** Who is told what becomes of each call, on the event loop. */
+    public interface Observer {
+        /** Its INVITE leaves. */
+        default void asked(long id) {}
+
+        /** A final answer has come, in time or late. */
+        default void finalAnswer(long id, int status) {}
+
+        /** Its caller stops waiting without an answer. */
+        default void gaveUp(long id) {}
+
+        /** A BYE has come. */
+        default void over(long id) {}
+    }
+
     /** Callers of one class, each of whom waits so long. */
     public StandInCallers(Vertx vertx, String tier, long deadlineMs) {
         this.vertx = vertx;
@@ -41,6 +57,12 @@
         this.deadlineMs = deadlineMs;
     }
 
+    /** Names the observer, and the id of the first call. */
+    public void observe(Observer who, long firstId) {
+        observer = who;
+        next = firstId;
+    }
+
     /** Opens so many connections; a lost one is opened again. */
     public Future<Void> connect(int port, int connections) {
         client = client == null ? vertx.createNetClient() : client;
@@ -64,8 +86,10 @@
         });
     }
 
-    /** All connections are closed in order; {@link #connect} opens others. */
+    /** All connections are closed in order, and no answer is waited for; {@link #connect} opens others. */
     public void leave() {
+        asked.keySet().forEach(id -> count("left"));
+        asked.clear();
         List.copyOf(sockets).forEach(NetSocket::close);
         sockets.clear();
     }
@@ -89,6 +113,7 @@
         long id = next++;
         NetSocket on = sockets.get((int) (id % sockets.size()));
         asked.put(id, meantUs);
+        observer.asked(id);
         SipMessage bare = SipMessage.request("INVITE", "sip:" + hex(id * 7919) + "@net", new Header("Via", "SIP/2.0/TCP peer"),
             new Header("Call-ID", hex(id)), new Header("CSeq", "1 INVITE"), new Header("X-Tier", tier),
             new Header("X-Deadline", Long.toString(deadlineMs)), new Header("X-Attrs", "dest:" + group + ";width:1;via:-1"));
@@ -97,6 +122,7 @@
         vertx.setTimer(deadlineMs, t -> {
             if (asked.remove(id) != null) {
                 count("gave up");
+                observer.gaveUp(id);
                 write(on,
                     SipMessage.request("CANCEL", bare.uri(), new Header("Call-ID", hex(id)), new Header("CSeq", "1 CANCEL")));
             }
@@ -123,11 +149,13 @@
             // A BYE: the call is over.
             boolean known = stood.remove(id) != null;
             count(known ? "ended" : "ended again");
+            observer.over(id);
             if (known) {
                 overUs.put(id, nowUs);
             }
             write(on, m.response(200, "OK"));
         } else if (m.method().equals("INVITE") && m.status() >= 200) {
+            observer.finalAnswer(id, m.status());
             Long sinceUs = asked.remove(id);
             if (sinceUs == null) {
                 count("late " + m.status());
--- a/src/main/java/grebewick/lab/StandInServer.java
+++ b/src/main/java/grebewick/lab/StandInServer.java
@@ -120,7 +120,11 @@
             codec.read(bytes, m -> take(socket, m));
         });
         socket.exceptionHandler(e -> socket.close());
-        socket.closeHandler(v -> open.remove(socket));
+        socket.closeHandler(v -> {
+            open.remove(socket);
+            // Set-ups on a connection that is closed are given up; what stands belongs to no connection.
+            standing.entrySet().removeIf(each -> each.getValue() == socket && !answered.contains(each.getKey()));
+        });
         write(socket, new TrunkMessage(GROUP_STATE, 0, "", "", -1, "", report(), -1, new byte[0]));
         said.forEach(m -> write(socket, m));
         said.clear();
--- a/src/main/java/grebewick/liveness/ProcessTracker.java
+++ b/src/main/java/grebewick/liveness/ProcessTracker.java
@@ -104,9 +104,13 @@
         moves++;
     }
 
-    /** A call stands at this process. */
+    /** A call stands at this process. One that was given up is known again: it has just answered. */
     public void callStands(ProcessLease process) {
-        process.current().callStands();
+        ProcessLease alive = process.current();
+        if (!processes.contains(alive)) {
+            processes.add(0, alive);
+        }
+        alive.callStands();
     }
 
     /** A call that stood there is over, or is forgotten. */
--- a/src/main/java/grebewick/trunk/ServerConnection.java
+++ b/src/main/java/grebewick/trunk/ServerConnection.java
@@ -30,6 +30,8 @@
     long halfUs;
     /** No new set-ups: what is open here may still end. */
     boolean retired;
+    /** It was retired for its silence alone. */
+    boolean doubted;
     /** This side has ended it, and waits for the other to do so. */
     boolean finishing;
     /** Reset, or closed from this side with the other's end not heard. */
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -199,6 +199,7 @@
 
     /** Nothing new goes out there; it is closed once no call is left on it, or after a while. */
     void retire(ServerConnection connection, String reason) {
+        connection.doubted = false;
         if (!connection.retired) {
             connection.retired = true;
             eventLog.write(Event.CONNECTION_RETIRED, () -> describe(connection) + " reason=" + reason);
@@ -212,6 +213,9 @@
      * tell their process from another one at its address is a connection that reaches it.
      */
     private void dropRetired(ServerConnection connection) {
+        if (!connection.retired) {
+            return;
+        }
         if (!isNeededAsEvidence(connection)) {
             drop(connection, "retired-for-long");
         } else if (open.contains(connection)) {
@@ -307,6 +311,9 @@
         }
         long now = clock.nowUs();
         processes.heard(connection.process, now);
+        if (connection.doubted) {
+            takeBackDoubt(connection);
+        }
         try {
             connection.codec.read(bytes, message -> {
                 connection.heardUs = now;
@@ -423,10 +430,21 @@
             drop(connection, "silent-and-connect-failed");
         } else if (!connection.retired) {
             retire(connection, "silent-and-connect-failed");
+            connection.doubted = true;
             owner.giveUpSetUps(connection);
         }
     }
 
+    /** It is heard again after a cut: it may serve, as the descriptors may bear no other beside it. */
+    private void takeBackDoubt(ServerConnection connection) {
+        connection.doubted = false;
+        connection.retired = connection.finishing;
+        eventLog.write(Event.SERVER_STATE, () -> describe(connection) + " state=heard-again");
+        if (!connection.retired) {
+            owner.up(this);
+        }
+    }
+
     private void unreached(boolean dead) {
         if (!unreachable || dead) {
             eventLog.write(Event.SERVER_STATE, () -> "server=" + id + " state=" + (dead ? "dead" : "unreachable"));
--- /dev/null
+++ b/src/test/java/grebewick/lab/faults/RuleCheckTest.java
@@ -0,0 +1,86 @@
+package grebewick.lab.faults;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.lab.faults.RuleCheck.Finding;
+import grebewick.lab.faults.RuleCheck.Outage;
+import grebewick.lab.faults.RuleCheck.Rule;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** A record that keeps each rule, and one that breaks it: the check is known to be able to fail. */
+class RuleCheckTest {
+    private static final long ASKED_US = 1_000_000;
+    private static final long OVER_US = 5_000_000;
+    private static final long END_US = 60_000_000;
+
+    /** A call that stood, was ended by its server, and whose caller was told at once; then what is changed in it. */
+    private static List<Rule> broken(Consumer<CallRecord> change, Outage... outages) {
+        CallRecord call = new CallRecord(1, 0, ASKED_US);
+        call.finalAnswers = 1;
+        call.status = 200;
+        call.answeredUs = ASKED_US + 20_000;
+        call.server = 0;
+        call.overUs = OVER_US;
+        call.toldUs = OVER_US + 1_000;
+        change.accept(call);
+        return new RuleCheck(List.of(outages), END_US).check(List.of(call)).stream().map(Finding::rule).toList();
+    }
+
+    private static void isUnanswered(CallRecord call) {
+        call.finalAnswers = 0;
+        call.status = 0;
+        call.answeredUs = 0;
+        call.gaveUpUs = ASKED_US + 3_000_000;
+    }
+
+    @Test
+    void aCallThatIsAnsweredOnceAndToldOnceBreaksNothing() {
+        assertThat(broken(call -> {})).isEmpty();
+        assertThat(broken(call -> call.toldUs = OVER_US + RuleCheck.TOLD_WITHIN_US)).isEmpty();
+        assertThat(broken(call -> {
+            call.overUs = 0;
+            call.toldUs = 0;
+        })).as("it still stands").isEmpty();
+    }
+
+    @Test
+    void aRequestWithoutAnAnswerIsFound() {
+        assertThat(broken(RuleCheckTest::isUnanswered)).containsExactly(Rule.NO_ANSWER);
+    }
+
+    @Test
+    void aRequestThatItsGatekeeperCouldNotAnswerIsExcused() {
+        assertThat(broken(RuleCheckTest::isUnanswered, new Outage(0, ASKED_US + 1, ASKED_US + 9))).isEmpty();
+        assertThat(broken(RuleCheckTest::isUnanswered, new Outage(1, ASKED_US + 1, ASKED_US + 9)))
+            .containsExactly(Rule.NO_ANSWER);
+    }
+
+    @Test
+    void aSecondAnswerIsFound() {
+        assertThat(broken(call -> call.finalAnswers = 2)).containsExactly(Rule.TWO_ANSWERS);
+    }
+
+    @Test
+    void twoAttemptsAtOnceAreFound() {
+        assertThat(broken(call -> call.heldTwice = true)).containsExactly(Rule.TWO_ATTEMPTS);
+    }
+
+    @Test
+    void anEndThatIsToldLateOrNeverIsFound() {
+        assertThat(broken(call -> call.toldUs = OVER_US + RuleCheck.TOLD_WITHIN_US + 1)).containsExactly(Rule.UNTOLD);
+        assertThat(broken(call -> call.toldUs = 0)).containsExactly(Rule.UNTOLD);
+        assertThat(broken(call -> call.toldUs = 0, new Outage(0, OVER_US, OVER_US + 1))).as("nobody knows it").isEmpty();
+    }
+
+    @Test
+    void aCallThatIsEndedThoughItStandsIsFound() {
+        assertThat(broken(call -> call.overUs = 0)).containsExactly(Rule.ENDED_WHILE_STANDING);
+    }
+
+    @Test
+    void aPlanIsTheSameForTheSameSeed() {
+        assertThat(SoakPlan.draw(7)).isEqualTo(SoakPlan.draw(7)).isNotEqualTo(SoakPlan.draw(8));
+    }
+}
--- a/src/test/java/grebewick/liveness/ProcessTrackerTest.java
+++ b/src/test/java/grebewick/liveness/ProcessTrackerTest.java
@@ -72,6 +72,19 @@
         assertThat(tracker.suspects(nowMs * 1000)).isEmpty();
     }
 
+    /** An answer that comes after all: the call that stands by it needs a lease as any other. */
+    @Test
+    void aProcessThatWasLostAndAnswersHasALeaseAgain() {
+        ProcessLease a = withCall();
+        passes(LEASE_MS);
+        tracker.callEnds(a);
+        isHeard(a);
+        tracker.callStands(a);
+        due.clear();
+        passes(LEASE_MS);
+        assertThat(expired()).hasSize(1);
+    }
+
     @Test
     void eachSignOfLifeRenewsTheLease() {
         ProcessLease a = withCall();
