Probes of silent servers have a budget: where they are dear, evidence may be older

Half a second between probes is what the price does not bear.

What has no answer is probed each 0.5 s; a gatekeeper that ends soon probes at once. Told within 8 s holds as before; a cut of 6 s may now end calls whose last evidence was over a second old, where probes are dear.

--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -131,6 +131,7 @@
     /** From now on tests fail, so that callers go elsewhere; calls are still taken. */
     public void failTests() {
         front.failTests();
+        trunk.probeOften();
     }
 
     /** From now on calls are refused. */
--- a/src/main/java/grebewick/lab/GatekeeperConfig.java
+++ b/src/main/java/grebewick/lab/GatekeeperConfig.java
@@ -14,9 +14,10 @@
  * @param peers other gatekeepers, none of which runs
  * @param sockets descriptors that it may use
  * @param probes whether it may test servers
+ * @param probeFee price of a test for each first try; 0: none
  */
 public record GatekeeperConfig(int port, int namesPort, List<StandInNames.Host> known, int peers, int sockets,
-                               boolean probes) {
+                               boolean probes, double probeFee) {
     private static final int ADDRESSES_A_NET = 250;
     private static final String FORM = """
         {"name":"n0","listen":"127.0.0.1:%d","names":"127.0.0.1:%d",
@@ -24,6 +25,7 @@
          "limits":{"sockets":%d},"peer_listen":"127.0.0.1:0","peers":[%s],
          "settings":{"FamilyInfo":{"MeanHold":[1000000],"PoolsByClass":[[%s]],"Resend":400000,"Release":500000,"Shape":"pools"},
           "Bounds":{"AttemptsCap":4,"ConnectTimeout":500000,"MaxOpen":20000,"Cancel":true,"Probes":%b,"RetryAfter":true},
+          "Fees":{"Probe":%s},
           "ReplicasOfMe":%d,
           "Grades":[{"Name":"a","GoalTime":400000,"HardLimit":3000000,"Effect":"retryable","Worth":1.0,"LateValue":0.1}],
           "Report":{"Fields":["free","size","can_take","queue"],"How":"inline"},"Period":5000,
@@ -31,12 +33,12 @@
 
     /** Of a gatekeeper that may test servers. */
     public GatekeeperConfig(int port, int namesPort, List<StandInNames.Host> known, int peers, int sockets) {
-        this(port, namesPort, known, peers, sockets, true);
+        this(port, namesPort, known, peers, sockets, true, 0);
     }
 
     /** The same for a gatekeeper that takes whatever port is free. */
     GatekeeperConfig atAnyPort() {
-        return new GatekeeperConfig(0, namesPort, known, peers, sockets, probes);
+        return new GatekeeperConfig(0, namesPort, known, peers, sockets, probes, probeFee);
     }
 
     /** The text of the file. */
@@ -45,7 +47,7 @@
             + "\",\"zone\":\"" + h.zone() + "\",\"type\":\"std\",\"group\":" + h.group()
             + ",\"status\":\"up\",\"weight\":4,\"since_ms\":0}").collect(Collectors.joining(","));
         return FORM.formatted(port, namesPort, endpoints, sockets, joined(peers, GatekeeperConfig::peerAddress),
-            joined(known.size(), Integer::toString), probes, peers);
+            joined(known.size(), Integer::toString), probes, Double.toString(probeFee), peers);
     }
 
     private static String peerAddress(int index) {
--- a/src/main/java/grebewick/liveness/ProcessLease.java
+++ b/src/main/java/grebewick/liveness/ProcessLease.java
@@ -13,7 +13,9 @@
     private long heardUs;
     /** Evidence that is not proven yet, where tests are forbidden. */
     private final AssumedLife assumed = new AssumedLife();
+    /** us. The last probe, and the first since the last evidence; 0: there is none since then. */
     private long probedUs;
+    private long unansweredUs;
     /** Looks in time, one after the other, since the last evidence. */
     private int quietLooks;
     private int connections;
@@ -30,7 +32,6 @@
         this.moves = moves;
         sinceUs = nowUs;
         heardUs = nowUs;
-        probedUs = nowUs;
     }
 
     /** The one that stands for this process now. */
@@ -88,13 +89,18 @@
 
     void heard(long nowUs) {
         heardUs = Math.max(heardUs, nowUs);
-        quietLooks = 0;
+        answered();
     }
 
     /** Its address was reached, by a connection of its own or of another process. */
     void assume(long nowUs, LeaseTimes times) {
         heardUs = Math.max(heardUs, assumed.reached(nowUs, heardUs, times));
+        answered();
+    }
+
+    private void answered() {
         quietLooks = 0;
+        unansweredUs = 0;
     }
 
     /** Its connections are written to. */
@@ -134,11 +140,23 @@
         return quietLooks;
     }
 
-    boolean isProbeDue(long nowUs, long everyUs) {
-        return nowUs - Math.max(heardUs(), probedUs) >= everyUs;
+    /** Whether it is to be probed now, whatever that costs. */
+    boolean isProbeDue(long nowUs, LeaseTimes times) {
+        return unansweredUs > 0 ? nowUs - probedUs >= times.repeatProbeUs() : nowUs - heardUs() >= times.dueProbeUs();
+    }
+
+    /** Whether a probe would be of use, and none is out. */
+    boolean isProbeUseful(long nowUs, LeaseTimes times) {
+        return unansweredUs == 0 && nowUs - heardUs() >= times.earlyProbeUs();
     }
 
     void probed(long nowUs) {
         probedUs = nowUs;
+        unansweredUs = unansweredUs == 0 ? nowUs : unansweredUs;
+    }
+
+    /** Whether a probe has had no answer for so long. */
+    boolean isSuspect(long nowUs, long us) {
+        return unansweredUs > 0 && nowUs - unansweredUs >= us;
     }
 }
--- a/src/main/java/grebewick/liveness/ProcessTracker.java
+++ b/src/main/java/grebewick/liveness/ProcessTracker.java
@@ -24,15 +24,23 @@
     public record Due(ProcessLease process, Action action) {}
 
     private final LeaseTimes times;
+    private final ProbeBudget budget;
     /** The oldest first; the last is the one that new connections reach. */
     private final List<ProcessLease> processes = new ArrayList<>();
     private long nextNumber = 1;
     private int moves;
     private long lookedUs = Long.MIN_VALUE;
+    private boolean probesOften;
 
     /** Nothing is known of the address yet. */
-    public ProcessTracker(LeaseTimes times) {
+    public ProcessTracker(LeaseTimes times, ProbeBudget budget) {
         this.times = times;
+        this.budget = budget;
+    }
+
+    /** From now on evidence is to be fresh whatever it costs: this gatekeeper ends soon. */
+    public void probeOften() {
+        probesOften = true;
     }
 
     /** A connection came up; gives the process that it reaches. */
@@ -132,7 +140,7 @@
             if (nowUs - process.heardUs() >= times.leaseUs() && process.quietLooks() >= LEAST_QUIET_LOOKS) {
                 processes.remove(process);
                 due.add(new Due(process, Action.EXPIRE));
-            } else if (process.isProbeDue(nowUs, times.probeEveryUs())) {
+            } else if (isProbed(process, nowUs)) {
                 process.probed(nowUs);
                 due.add(new Due(process, Action.PROBE));
             }
@@ -140,14 +148,17 @@
         return due;
     }
 
-    /** Processes with calls that have been silent for so long that two probes have no answer. */
-    public List<ProcessLease> suspects(long nowUs) {
-        return processes.stream().filter(process -> process.hasCalls() && isSuspect(process, nowUs)).toList();
+    private boolean isProbed(ProcessLease process, long nowUs) {
+        if (process.isProbeDue(nowUs, times) || probesOften && process.isProbeUseful(nowUs, times)) {
+            budget.spend();
+            return true;
+        }
+        return process.isProbeUseful(nowUs, times) && budget.tryTake();
     }
 
-    /** Whether that process has been silent for so long that two probes have no answer. */
-    public boolean isSuspect(ProcessLease process, long nowUs) {
-        return nowUs - process.current().heardUs() >= times.suspectUs();
+    /** Processes with calls that have left probes without an answer for a while. */
+    public List<ProcessLease> suspects(long nowUs) {
+        return processes.stream().filter(process -> process.hasCalls() && process.isSuspect(nowUs, times.suspectUs())).toList();
     }
 
     /** What nothing leans on and no connection reaches is forgotten, but for the last: it may yet be rejoined. */
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -6,6 +6,7 @@
 import grebewick.core.EventLog.Event;
 import grebewick.core.Timers;
 import grebewick.liveness.LeaseTimes;
+import grebewick.liveness.ProbeBudget;
 import grebewick.liveness.ProcessLease;
 import grebewick.liveness.ProcessTracker;
 import io.vertx.core.Future;
@@ -75,7 +76,7 @@
 
     final String id;
     final CutDetector cuts = new CutDetector();
-    final ProcessTracker processes = new ProcessTracker(LeaseTimes.DEFAULT);
+    final ProcessTracker processes;
     long launchedUs;
     /** The list says so: it ends its calls, and gets no more. */
     boolean drains;
@@ -106,8 +107,10 @@
     private boolean renew;
 
     ServerConnections(String id, Address address, long launchedUs, NetClient client, Quota quota, ServerReconnects reconnects,
-                      Clock clock, Timers timers, NetClient checkClient, Owner owner, Consumer<String> log, EventLog eventLog) {
+                      Clock clock, Timers timers, NetClient checkClient, ProbeBudget probeBudget, Owner owner,
+                      Consumer<String> log, EventLog eventLog) {
         this.reconnects = reconnects;
+        processes = new ProcessTracker(LeaseTimes.DEFAULT, probeBudget);
         addressCheck = checkClient == null ? null : new AddressCheck(checkClient, quota, this::reached);
         this.id = id;
         this.address = address;
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -14,6 +14,7 @@
 import grebewick.core.Offer;
 import grebewick.core.Servers;
 import grebewick.core.Timers;
+import grebewick.liveness.ProbeBudget;
 import grebewick.liveness.ProcessLease;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -55,6 +56,7 @@
     private final long doubtUs;
     private final Consumer<String> log;
     private final EventLog eventLog;
+    private final ProbeBudget probeBudget;
     private final Map<String, ServerConnections> servers = new TreeMap<>();
     private final Map<Long, CallLeg> byCall = new HashMap<>();
     private final Map<Long, CallLeg> byId = new HashMap<>();
@@ -94,6 +96,7 @@
         doubtUs = resendUs > 0 ? Math.min(DOUBT_US, resendUs) : DOUBT_US;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, set.bounds().connectTimeoutUs() / 1000)));
+        probeBudget = new ProbeBudget(set.bounds().probes() ? set.fees().probe() : set.fees().handshake());
         checkClient = set.bounds().probes() ? null : vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout(AddressCheck.CONNECT_MS));
         timers.after(SWEEP_US, this::sweep);
@@ -170,7 +173,7 @@
             } else {
                 connections = new ServerConnections(id, e.address(), e.entry().startedAtUs(), client, quota,
                     new ServerReconnects(budget, random),
-                    clock, timers, checkClient, this, log, eventLog);
+                    clock, timers, checkClient, probeBudget, this, log, eventLog);
                 servers.put(id, connections);
                 connections.connect();
             }
@@ -214,6 +217,9 @@
         }
         CallLeg leg = new CallLeg(call, copy, connections, offer,
             TrunkMessage.setUp(offer.id(), offer.band(), offer.item(), Math.max(1, waitUs / 1000), offer.description()));
+        if (copy == 0) {
+            probeBudget.firstTry();
+        }
         byCall.put(call, leg);
         byId.put(offer.id(), leg);
         own.put(offer.id(), true);
@@ -378,6 +384,11 @@
             .map(leg -> leg.call).sorted().toList();
     }
 
+    /** This process ends soon: whether servers with calls live is to be known by then. */
+    public void probeOften() {
+        servers.values().forEach(connections -> connections.processes.probeOften());
+    }
+
     /**
      * This process is about to end: calls at servers that are silent are over now, as nobody will be there to tell their
      * callers later.
