--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Tasks for people; .ci/run calls `test`.
-.PHONY: build test lint bench-load bench-control bench-latency bench-fleet bench-ready run clean
+.PHONY: build test lint bench-load bench-control bench-latency bench-fleet bench-ready soak trial-vanish run clean
 
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"   \#.*/\1/p' deploy/balancer.toml)
 LAB = 'target/grebewick.jar:target/lib/*:target/lab-lib/*'
@@ -32,6 +32,12 @@
 bench-ready: build ## how soon 30 gatekeepers that start at once serve, five times; some 2 min, on an idle machine
 	java -cp $(LAB) grebewick.lab.ReadinessBench -- $(RUN)
 
+soak: build       ## 50 drawn plans of combined faults against real gatekeepers, three at a time; some 10 min
+	java -cp $(LAB) grebewick.lab.faults.FaultSoak --seeds=1-50 -- $(RUN)
+
+trial-vanish: build ## faults of servers with calls standing on them, three seeds each; some 4 min
+	java -cp $(LAB) grebewick.lab.faults.VanishingTrials -- $(RUN)
+
 run: build        ## the Diameter front on loopback, as deploy/diameter.json says
 	RELAY_DIAMETER=deploy/diameter.json java -jar target/grebewick.jar serve
 
