--- a/src/main/java/grebewick/lab/GatekeeperProcess.java
+++ b/src/main/java/grebewick/lab/GatekeeperProcess.java
@@ -3,6 +3,7 @@
 import grebewick.lab.measure.ProcessSample;
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -13,6 +14,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -23,6 +25,9 @@
     static final List<String> COMMAND = List.of("java", "-jar", "target/grebewick.jar", "serve");
     private static final int PATIENCE_S = 20;
     private static final int TRY_AGAIN_MS = 20;
+    private static final int FIRST_PORT = 12_000;
+    private static final int LAST_PORT = 30_000;
+    private static final int PORT_TRIES = 100;
 
     /** In the line that a gatekeeper logs once it takes calls. */
     private static final String SERVES = " serves at ";
@@ -128,11 +133,17 @@
         return started;
     }
 
-    /** A port of loopback that is free now. */
+    /** A port of loopback that is free now, and below those that the system gives to connections by itself. */
     public static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return probe.getLocalPort();
+        for (int i = 0; i < PORT_TRIES; i++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return probe.getLocalPort();
+            } catch (BindException e) {
+                // It is taken.
+            }
         }
+        throw new IOException("no free port from " + FIRST_PORT + " to " + LAST_PORT);
     }
 
     private void awaitListening() throws IOException, InterruptedException {
--- a/src/main/java/grebewick/lab/faults/FaultSoak.java
+++ b/src/main/java/grebewick/lab/faults/FaultSoak.java
@@ -3,6 +3,7 @@
 import grebewick.lab.GatekeeperProcess;
 import grebewick.lab.faults.RuleCheck.Finding;
 import grebewick.lab.measure.ResultTable;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,6 +33,9 @@
     @Option(names = "--json", defaultValue = "target/faults/soak.json", description = "the results (${DEFAULT-VALUE})")
     private Path json;
 
+    @Option(names = "--logs", description = "folder for the gatekeepers' logs of each plan in which a rule was broken")
+    private Path logs;
+
     @Parameters(arity = "0..*", description = "after --: the command that starts a gatekeeper")
     private List<String> command = new ArrayList<>();
 
@@ -76,6 +80,10 @@
             List<Finding> findings = run.play();
             List<String> log = new ArrayList<>();
             findings.stream().limit(MOST_SHOWN).forEach(finding -> log.addAll(run.log(finding.call())));
+            if (logs != null && !findings.isEmpty()) {
+                Files.createDirectories(logs);
+                Files.write(logs.resolve("seed-" + plan.seed() + ".log"), run.log());
+            }
             return new Outcome(plan, run.calls(), run.ended(), findings, log);
         }
     }
--- a/src/main/java/grebewick/lab/faults/SoakRun.java
+++ b/src/main/java/grebewick/lab/faults/SoakRun.java
@@ -194,7 +194,7 @@
 
     private void awaitServing(int index) throws Exception {
         if (gatekeepers[index].awaitServing(System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_S)).isEmpty()) {
-            throw new IOException("gatekeeper " + index + " does not serve");
+            throw new IOException("gatekeeper " + index + " does not serve: " + log);
         }
     }
 
@@ -308,6 +308,11 @@
         return Futures.onLoop(vertx, () -> calls.values().stream().filter(call -> call.stood() && call.overUs > 0).count());
     }
 
+    /** All lines of the gatekeepers' logs. */
+    List<String> log() {
+        return List.copyOf(log);
+    }
+
     /** Lines of the gatekeepers' logs that name a call. */
     List<String> log(long call) {
         return log.stream().filter(line -> line.contains(String.format("call=%016x", call))).toList();
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -231,7 +231,8 @@
         ProcessLease process = connection.process.current();
         long freshUs = clock.nowUs() - EVIDENCE_US;
         return process.hasCalls() && open.stream()
-            .noneMatch(other -> other != connection && other.process.current() == process && other.heardUs >= freshUs);
+            .noneMatch(other -> other != connection && !other.finishing && other.process.current() == process
+                && other.heardUs >= freshUs);
     }
 
     /** Opens one more connection, if it may be tried now. */
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -37,6 +37,8 @@
 public final class Trunk implements Servers<byte[]>, ServerConnections.Owner {
     /** us. Silence after a set-up that casts doubt on a connection, at the most: sooner where repeats are due sooner. */
     private static final long DOUBT_US = 500_000;
+    /** Least price of a connection that is opened to show that an address can be reached: each takes a server's descriptor. */
+    private static final double CONNECTION_FEE = 0.05;
     /** The id in messages that concern no call. */
     private static final long NO_CALL = 0;
     private static final int MOST_OWN = 4_000;
@@ -96,7 +98,8 @@
         doubtUs = resendUs > 0 ? Math.min(DOUBT_US, resendUs) : DOUBT_US;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, set.bounds().connectTimeoutUs() / 1000)));
-        probeBudget = new ProbeBudget(set.bounds().probes() ? set.fees().probe() : set.fees().handshake());
+        probeBudget = new ProbeBudget(
+            set.bounds().probes() ? set.fees().probe() : Math.max(CONNECTION_FEE, set.fees().handshake()));
         checkClient = set.bounds().probes() ? null : vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout(AddressCheck.CONNECT_MS));
         timers.after(SWEEP_US, this::sweep);
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -407,7 +407,9 @@
             x4 sees the end
             c > OPTIONS 77
             c < 200 OPTIONS 77
-            wait 7000
+            wait 3500
+            s2 has no more
+            wait 3500
             s2 > release 02 16
             s2 < released 02
             d < BYE 02 16
