--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -408,14 +408,18 @@
             c > OPTIONS 77
             c < 200 OPTIONS 77
             wait 3500
+            s1 has no more
             s2 has no more
             wait 3500
+            s1 has no more
             s2 > release 02 16
             s2 < released 02
             d < BYE 02 16
             d > 200 BYE 02
             d has no more
-            wait 6000
+            wait 3000
+            s1 has no more
+            wait 3000
             d sees the end
             c has no more
             s1 > release 01 16
