Tools end their gatekeepers whatever ends the tool; the soak sees two attempts

Checked: the stack waited for the end of the connection that the test had accepted; its other end was held by process 9964, a gatekeeper that an early run of VanishingTrials had left behind as it broke off, and which connected to its dead servers' ports for ever. Suspected first and ruled out: a connection of the node that comes up after its close.

Change: GatekeeperProcess ends what it started as its JVM ends; the test has a time limit on that read. By reading: the soak's check of two attempts could not fail in a play, as it looked at answers before the first final one; it looks at set-ups now. One class has the options of both tools (they stood twice); seeds that cannot be read exit with 2. No class of serve is touched.

--- a/src/main/java/grebewick/lab/GatekeeperProcess.java
+++ b/src/main/java/grebewick/lab/GatekeeperProcess.java
@@ -12,7 +12,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +34,13 @@
     /** In the line that a gatekeeper logs once it takes calls. */
     private static final String SERVES = " serves at ";
 
+    /** Those that run. A tool that breaks off must leave none behind: it would connect to whoever has its servers' ports next. */
+    private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
+
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(GatekeeperProcess::endAll, "ends gatekeepers"));
+    }
+
     private final Process process;
     private final Path file;
     private final int port;
@@ -48,6 +57,12 @@
         port = config.port();
         startedNs = System.nanoTime();
         process = builder.start();
+        RUNNING.add(process);
+        process.onExit().thenRun(() -> RUNNING.remove(process));
+    }
+
+    private static void endAll() {
+        RUNNING.forEach(Process::destroyForcibly);
     }
 
     /** The command wanted, or the usual one where none is. */
--- a/src/main/java/grebewick/lab/StandInServer.java
+++ b/src/main/java/grebewick/lab/StandInServer.java
@@ -91,6 +91,11 @@
         return standing.size();
     }
 
+    /** Whether it holds a call, answered or not. */
+    public boolean holds(long call) {
+        return standing.containsKey(call);
+    }
+
     /** Calls that were answered and stand. */
     public Set<Long> answeredCalls() {
         return Set.copyOf(answered);
--- a/src/main/java/grebewick/lab/faults/FaultSoak.java
+++ b/src/main/java/grebewick/lab/faults/FaultSoak.java
@@ -1,6 +1,5 @@
 package grebewick.lab.faults;
 
-import grebewick.lab.GatekeeperProcess;
 import grebewick.lab.faults.RuleCheck.Finding;
 import grebewick.lab.measure.ResultTable;
 import java.nio.file.Files;
@@ -15,8 +14,8 @@
 import java.util.concurrent.Future;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 
 /** Plays drawn plans of faults against real gatekeepers. Exits with 1 where a rule was broken or a plan not played. */
 @Command(name = "FaultSoak", mixinStandardHelpOptions = true, sortOptions = false, description = FaultSoak.PURPOSE)
@@ -24,11 +23,8 @@
     static final String PURPOSE = "Plays combined faults, drawn by seed, and checks every call against the rules.";
     private static final int MOST_SHOWN = 5;
 
-    @Option(names = "--seeds", defaultValue = "1-10", description = "FIRST-LAST (${DEFAULT-VALUE})")
-    private String seeds;
-
-    @Option(names = "--parallel", defaultValue = "3", description = "plans at a time (${DEFAULT-VALUE})")
-    private int parallel;
+    @Mixin
+    private PlayOptions play;
 
     @Option(names = "--json", defaultValue = "target/faults/soak.json", description = "the results (${DEFAULT-VALUE})")
     private Path json;
@@ -36,9 +32,6 @@
     @Option(names = "--logs", description = "folder for the gatekeepers' logs of each plan in which a rule was broken")
     private Path logs;
 
-    @Parameters(arity = "0..*", description = "after --: the command that starts a gatekeeper")
-    private List<String> command = new ArrayList<>();
-
     private record Outcome(SoakPlan plan, int calls, long ended, List<Finding> findings, List<String> log) {}
 
     /** Plays all; exits with 0 if every rule was kept. */
@@ -48,10 +41,10 @@
 
     @Override
     public Integer call() throws Exception {
-        SeedRange range = SeedRange.parse(seeds);
-        ResultTable table = new ResultTable("FaultSoak", List.of("--seeds=" + seeds, "--parallel=" + parallel), "seed",
+        SeedRange range = play.seeds();
+        ResultTable table = new ResultTable("FaultSoak", play.asGiven(), "seed",
             "gatekeepers", "faults", "calls", "ended", "result");
-        ExecutorService pool = Executors.newFixedThreadPool(parallel);
+        ExecutorService pool = Executors.newFixedThreadPool(play.parallel());
         List<Future<Outcome>> outcomes = new ArrayList<>();
         for (long seed = range.first(); seed <= range.last(); seed++) {
             SoakPlan plan = SoakPlan.draw(seed);
@@ -76,7 +69,7 @@
     }
 
     private Outcome play(SoakPlan plan) throws Exception {
-        try (SoakRun run = new SoakRun(plan, GatekeeperProcess.commandOr(command))) {
+        try (SoakRun run = new SoakRun(plan, play.command())) {
             List<Finding> findings = run.play();
             List<String> log = new ArrayList<>();
             findings.stream().limit(MOST_SHOWN).forEach(finding -> log.addAll(run.log(finding.call())));
--- a/src/main/java/grebewick/lab/faults/SoakRun.java
+++ b/src/main/java/grebewick/lab/faults/SoakRun.java
@@ -135,18 +135,24 @@
 
     private StandInServer server(int index) {
         StandInServer server = new StandInServer(vertx, ANSWER_MS, HOLD_MS, LINES, id -> over(id, index));
-        server.onCall(id -> {}, id -> answered(id, index));
+        server.onCall(id -> setUp(id, index), id -> answered(id, index));
         return server;
     }
 
+    /** What a struck server holds may have been given up without its hearing so. */
+    private void setUp(long id, int server) {
+        CallRecord call = calls.get(id);
+        for (int other = 0; call != null && other < servers.size(); other++) {
+            call.heldTwice |= other != server && !struck.contains(other) && !struck.contains(server)
+                && servers.get(other).holds(id);
+        }
+    }
+
     private void answered(long id, int server) {
         CallRecord call = calls.get(id);
         if (call == null) {
             return;
         }
-        // What a struck server holds may have been given up without its hearing so.
-        call.heldTwice |= call.server >= 0 && call.overUs == 0 && call.status == 0 && !struck.contains(call.server)
-            && !struck.contains(server) && servers.get(call.server).answeredCalls().contains(id);
         if (call.status == 0) {
             call.server = server;
         }
--- a/src/main/java/grebewick/lab/faults/VanishingTrials.java
+++ b/src/main/java/grebewick/lab/faults/VanishingTrials.java
@@ -1,6 +1,5 @@
 package grebewick.lab.faults;
 
-import grebewick.lab.GatekeeperProcess;
 import grebewick.lab.measure.ResultTable;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -13,8 +12,8 @@
 import java.util.concurrent.Future;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 
 /** Plays faults of servers with calls standing on them against real gatekeepers. Exits with 1 where a rule was broken. */
 @Command(name = "VanishingTrials", mixinStandardHelpOptions = true, sortOptions = false, description = VanishingTrials.PURPOSE)
@@ -24,8 +23,8 @@
     @Option(names = "--faults", split = ",", description = "some of ${COMPLETION-CANDIDATES} (all)")
     private List<VanishingFault> faults = List.of(VanishingFault.values());
 
-    @Option(names = "--seeds", defaultValue = "1-3", description = "FIRST-LAST (${DEFAULT-VALUE})")
-    private String seeds;
+    @Mixin
+    private PlayOptions play;
 
     @Option(names = "--probes", arity = "1", defaultValue = "true", description = "whether tests are allowed (${DEFAULT-VALUE})")
     private boolean probes;
@@ -33,18 +32,12 @@
     @Option(names = "--probe-fee", defaultValue = "0.0029", description = "price of a test for each first try (${DEFAULT-VALUE})")
     private double probeFee;
 
-    @Option(names = "--parallel", defaultValue = "4", description = "trials at a time (${DEFAULT-VALUE})")
-    private int parallel;
-
     @Option(names = "--json", defaultValue = "target/faults/vanishing.json", description = "the results (${DEFAULT-VALUE})")
     private Path json;
 
     @Option(names = "--logs", description = "prints the gatekeeper's log of each trial in which a rule was broken")
     private boolean logs;
 
-    @Parameters(arity = "0..*", description = "after --: the command that starts a gatekeeper")
-    private List<String> command = new ArrayList<>();
-
     /** Plays all; exits with 0 if every rule was kept. */
     public static void main(String[] args) {
         System.exit(new CommandLine(new VanishingTrials()).execute(args));
@@ -52,11 +45,10 @@
 
     @Override
     public Integer call() throws Exception {
-        SeedRange range = SeedRange.parse(seeds);
-        ResultTable table = new ResultTable("VanishingTrials",
-            List.of("--seeds=" + seeds, "--probes=" + probes, "--probe-fee=" + probeFee),
+        SeedRange range = play.seeds();
+        ResultTable table = new ResultTable("VanishingTrials", arguments(),
             "fault", "seed", "kept", "calls", "told", "median ms", "longest ms");
-        ExecutorService pool = Executors.newFixedThreadPool(parallel);
+        ExecutorService pool = Executors.newFixedThreadPool(play.parallel());
         List<Future<TrialResult>> results = new ArrayList<>();
         for (VanishingFault fault : faults) {
             for (long seed = range.first(); seed <= range.last(); seed++) {
@@ -81,8 +73,15 @@
         return allKept ? 0 : 1;
     }
 
+    private List<String> arguments() {
+        List<String> arguments = new ArrayList<>(play.asGiven());
+        arguments.add("--probes=" + probes);
+        arguments.add("--probe-fee=" + probeFee);
+        return arguments;
+    }
+
     private TrialResult play(VanishingFault fault, long seed) throws Exception {
-        try (VanishingTrial trial = new VanishingTrial(fault, seed, probes, probeFee, GatekeeperProcess.commandOr(command))) {
+        try (VanishingTrial trial = new VanishingTrial(fault, seed, probes, probeFee, play.command())) {
             return trial.play();
         }
     }
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -149,6 +149,7 @@
             mute.accept();
             // The connection that comes up at last carries nothing of it, as this end of the node shows.
             try (Socket late = mute.accept()) {
+                late.setSoTimeout(20_000);
                 s.await(waits::close);
                 assertThat(late.getInputStream().readAllBytes()).isEmpty();
             }
--- a/src/test/java/grebewick/lab/faults/RuleCheckTest.java
+++ b/src/test/java/grebewick/lab/faults/RuleCheckTest.java
@@ -5,9 +5,12 @@
 import grebewick.lab.faults.RuleCheck.Finding;
 import grebewick.lab.faults.RuleCheck.Outage;
 import grebewick.lab.faults.RuleCheck.Rule;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
 
 /** A record that keeps each rule, and one that breaks it: the check is known to be able to fail. */
 class RuleCheckTest {
@@ -79,6 +82,14 @@
         assertThat(broken(call -> call.overUs = 0)).containsExactly(Rule.ENDED_WHILE_STANDING);
     }
 
+    @Test
+    void seedsThatCannotBeReadAreToldWithTheirOption() {
+        CommandLine soak = new CommandLine(new FaultSoak()).setErr(new PrintWriter(new StringWriter()));
+        assertThat(soak.execute("--seeds=x")).isEqualTo(2);
+        assertThat(soak.execute("--seeds=5-1")).isEqualTo(2);
+        assertThat(SeedRange.parse("3")).isEqualTo(new SeedRange(3, 3));
+    }
+
     @Test
     void aPlanIsTheSameForTheSameSeed() {
         assertThat(SoakPlan.draw(7)).isEqualTo(SoakPlan.draw(7)).isNotEqualTo(SoakPlan.draw(8));
