Tests: the log is a list that the loop may write while a test reads it

Cause: the event lines of this incident (connection-opened and others) are written on the event loop at any time, while the test's thread goes through an ArrayList of them; before, the lines that came then were few. What they check is unchanged.

--- a/src/test/java/grebewick/CrossingsTest.java
+++ b/src/test/java/grebewick/CrossingsTest.java
@@ -19,6 +19,7 @@
 import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,7 +29,7 @@
 @Timeout(100)
 class CrossingsTest {
     private final Scenario s = new Scenario();
-    private final List<String> log = new ArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private Node node;
     private int port;
     private int ports1;
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -19,9 +19,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -39,7 +39,7 @@
     private static final Settings PATIENT = Sites
         .settings(Sites.SETTINGS.replace("\"ConnectTimeout\":500000", "\"ConnectTimeout\":60000000"));
     private final Scenario s = new Scenario();
-    private final List<String> log = new ArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private Node node;
     private int port;
     private Endpoint one;
--- a/src/test/java/grebewick/NodeDiscoveryTest.java
+++ b/src/test/java/grebewick/NodeDiscoveryTest.java
@@ -24,6 +24,7 @@
 import io.vertx.core.datagram.DatagramSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -35,7 +36,7 @@
     private static final int SOCKETS = 64;
 
     private final Scenario s = new Scenario();
-    private final List<String> log = new ArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private final List<String> asked = new ArrayList<>();
     private Node node;
     private NodeConfig config;
--- a/src/test/java/grebewick/ReconnectsTest.java
+++ b/src/test/java/grebewick/ReconnectsTest.java
@@ -17,6 +17,7 @@
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -32,7 +33,7 @@
     private static final Buffer STATE = new TrunkDialect().encode("state 00 free:1");
 
     private final Scenario s = new Scenario();
-    private final List<String> log = new ArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private Node node;
     /** Connections that server s3 has accepted, and of these the ones that it ends after its state. */
     private int accepted;
--- a/src/test/java/grebewick/RestartTest.java
+++ b/src/test/java/grebewick/RestartTest.java
@@ -13,9 +13,9 @@
 import grebewick.play.Sites;
 import grebewick.sip.SipDialect;
 import grebewick.trunk.TrunkDialect;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,7 +27,7 @@
  */
 class RestartTest {
     private final Scenario s = new Scenario();
-    private final List<String> log = new ArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private int ports1;
     private int ports2;
     private int port;
--- a/src/test/java/grebewick/VanishedServerTest.java
+++ b/src/test/java/grebewick/VanishedServerTest.java
@@ -11,8 +11,8 @@
 import grebewick.play.Sites;
 import grebewick.sip.SipDialect;
 import grebewick.trunk.TrunkDialect;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,7 +27,7 @@
     private static final int TOLD_WITHIN_MS = 8_000;
 
     private final Scenario s = new Scenario();
-    private final List<String> log = new ArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private Node node;
 
     @BeforeEach
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,7 +27,7 @@
 /** The Diameter front on sockets: a client c, authorising peers p1 (first choice) and p2. Tw is 10 s, no jitter. */
 class DiameterNodeTest {
     private final Scenario s = new Scenario();
-    private final List<String> log = new ArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private DiameterNode node;
     private int port;
 
