Log what the list tells of servers, late answers, and ends that nobody confirmed

Change: server-state listed, draining, healthy, gone-from-list (with set-ups and standing calls), server-started-anew, server-moved; late-answer with call, server, connection and reason; teardown-abandoned with call or session, reason and tries (BYE, ASR, STR). Each kind has the bounded rate of EventLog.

--- a/src/main/java/grebewick/core/EventLog.java
+++ b/src/main/java/grebewick/core/EventLog.java
@@ -24,6 +24,10 @@
         CALL_REFUSED,
         /** A call that stood was ended by this gatekeeper. */
         CALL_ENDED,
+        /** A server answered a set-up that nobody waits for any more, or after it had left the list. */
+        LATE_ANSWER,
+        /** The end of a call was forgotten though nobody has confirmed that he heard it. */
+        TEARDOWN_ABANDONED,
         /** A connection with a server came up. */
         CONNECTION_OPENED,
         /** A connection with a server is gone. */
--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -5,9 +5,12 @@
 import grebewick.core.Callers;
 import grebewick.core.Clock;
 import grebewick.core.Ending;
+import grebewick.core.EventLog;
+import grebewick.core.EventLog.Event;
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Timers;
+import grebewick.teardown.Abandonment;
 import grebewick.teardown.RetryPolicy;
 import grebewick.teardown.TeardownRoutes;
 import grebewick.teardown.TeardownSender;
@@ -43,6 +46,7 @@
     private final Clock clock;
     private final Timers timers;
     private final Consumer<String> log;
+    private final EventLog eventLog;
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Map<Connection, Watchdog> watchdogs = new HashMap<>();
     private final Map<String, Session> sessions = new HashMap<>();
@@ -68,6 +72,7 @@
         this.clock = clock;
         this.timers = timers;
         this.log = log;
+        eventLog = new EventLog(log, clock);
         this.nextEndToEnd = (int) (clock.nowUs() >> 4);
         long keptUs = config.requestUs();
         teardowns = new TeardownSender<>(new RetryPolicy(keptUs, 1, keptUs, keptUs, MAX_TEARDOWNS), new ToClients(), clock,
@@ -340,5 +345,11 @@
                 }
             });
         }
+
+        @Override
+        public void abandoned(Session s, Abandonment why, int tries) {
+            eventLog.write(Event.TEARDOWN_ABANDONED, () -> "session=" + s.id + " reason=" + why + " tries=" + tries + " client="
+                + s.on.peer());
+        }
     }
 }
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -7,6 +7,7 @@
 import grebewick.core.CallControl.State;
 import grebewick.core.Clock;
 import grebewick.core.Ending;
+import grebewick.core.EventLog;
 import grebewick.core.Gatekeeper;
 import grebewick.core.Interruption;
 import grebewick.core.Offer;
@@ -39,7 +40,7 @@
         this.clock = clock;
         this.timers = timers;
         this.log = log;
-        teardowns = new SessionTeardowns(me, clock, timers);
+        teardowns = new SessionTeardowns(me, clock, timers, new EventLog(log, clock));
         NetClient client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, config.settings().bounds().connectTimeoutUs() / 1000)));
         for (DiameterConfig.Peer peer : config.peers()) {
--- a/src/main/java/grebewick/diameter/SessionTeardowns.java
+++ b/src/main/java/grebewick/diameter/SessionTeardowns.java
@@ -3,7 +3,10 @@
 import static grebewick.diameter.DiameterMessage.*;
 
 import grebewick.core.Clock;
+import grebewick.core.EventLog;
+import grebewick.core.EventLog.Event;
 import grebewick.core.Timers;
+import grebewick.teardown.Abandonment;
 import grebewick.teardown.RetryPolicy;
 import grebewick.teardown.TeardownRoutes;
 import grebewick.teardown.TeardownSender;
@@ -33,11 +36,13 @@
     private static final long SWEEP_US = 1_000_000;
 
     private final Identity me;
+    private final EventLog eventLog;
     private final TeardownSender<EndedSession, DiameterMessage, Connection> teardowns;
     private int nextEndToEnd;
 
-    SessionTeardowns(Identity me, Clock clock, Timers timers) {
+    SessionTeardowns(Identity me, Clock clock, Timers timers, EventLog eventLog) {
         this.me = me;
+        this.eventLog = eventLog;
         nextEndToEnd = (int) clock.nowUs();
         teardowns = new TeardownSender<>(POLICY, new ToPeers(), clock, timers, SWEEP_US);
     }
@@ -103,5 +108,11 @@
                 }
             });
         }
+
+        @Override
+        public void abandoned(EndedSession key, Abandonment why, int tries) {
+            eventLog.write(Event.TEARDOWN_ABANDONED,
+                () -> "session=" + key.id + " reason=" + why + " tries=" + tries + " server=" + key.at.host());
+        }
     }
 }
--- a/src/main/java/grebewick/sip/CallerLines.java
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -1,5 +1,8 @@
 package grebewick.sip;
 
+import grebewick.core.EventLog;
+import grebewick.core.EventLog.Event;
+import grebewick.teardown.Abandonment;
 import grebewick.teardown.TeardownRoutes;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,10 +23,12 @@
     static final long IDLE_US = 6_000_000;
 
     private final int most;
+    private final EventLog eventLog;
     private final Set<CallerLine> all = new LinkedHashSet<>();
 
-    CallerLines(int most) {
+    CallerLines(int most, EventLog eventLog) {
         this.most = most;
+        this.eventLog = eventLog;
     }
 
     /** Takes a connection in; at the limit another has to go: strangers first, never one with an open set-up. */
@@ -87,6 +92,13 @@
         line.write(bye);
     }
 
+    @Override
+    public void abandoned(Long call, Abandonment why, int tries) {
+        eventLog.write(Event.TEARDOWN_ABANDONED,
+            () -> "call=" + EventLog.id(call) + " reason=" + why + " tries=" + tries + " callers=" + all.size());
+    }
+
+    /** Bytes that callers were sent and the network has not taken. */
     long unwritten() {
         long sum = 0;
         for (CallerLine line : all) {
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -4,6 +4,7 @@
 import grebewick.core.CallControl.Settings;
 import grebewick.core.Clock;
 import grebewick.core.Ending;
+import grebewick.core.EventLog;
 import grebewick.core.Gatekeeper;
 import grebewick.core.LimitedLog;
 import grebewick.core.Timers;
@@ -30,7 +31,7 @@
     public SipFront(Vertx vertx, Settings set, int sockets, Gatekeeper<byte[]> core, Clock clock, Timers timers,
                     Consumer<String> log) {
         LimitedLog complaints = new LimitedLog(log, "sip: ", MOST_COMPLAINTS);
-        lines = new CallerLines(mostLines(sockets));
+        lines = new CallerLines(mostLines(sockets), new EventLog(log, clock));
         teardowns = new CallerTeardowns(lines, clock, timers);
         requests = new CallerRequests(set, core, teardowns, clock, complaints);
         listener = new CallerListener(vertx, lines, requests, clock, timers, complaints);
--- a/src/main/java/grebewick/teardown/PendingTeardowns.java
+++ b/src/main/java/grebewick/teardown/PendingTeardowns.java
@@ -76,7 +76,7 @@
         for (State state : List.of(State.SPENT, State.SENT, State.STRANDED, State.READY)) {
             Iterator<Entry<K, M, W>> eldest = by.get(state).values().iterator();
             if (eldest.hasNext()) {
-                forget(eldest.next());
+                abandon(eldest.next(), Abandonment.NO_ROOM);
                 dropped++;
                 return;
             }
@@ -157,11 +157,11 @@
         }
         for (Entry<K, M, W> e : first(State.SPENT, e -> nowUs - e.sentUs >= policy.heardUs())) {
             unheard++;
-            forget(e);
+            abandon(e, Abandonment.NO_ANSWER);
         }
         for (Entry<K, M, W> e : first(State.STRANDED, e -> nowUs - e.sinceUs >= policy.keptUs())) {
             lapsed++;
-            forget(e);
+            abandon(e, Abandonment.NO_CONNECTION);
         }
     }
 
@@ -222,6 +222,11 @@
         }
     }
 
+    private void abandon(Entry<K, M, W> e, Abandonment why) {
+        forget(e);
+        ways.abandoned(e.key, why, e.tries);
+    }
+
     private void forget(Entry<K, M, W> e) {
         leave(e);
         by.get(e.state).remove(e.key);
--- a/src/main/java/grebewick/teardown/TeardownRoutes.java
+++ b/src/main/java/grebewick/teardown/TeardownRoutes.java
@@ -16,4 +16,7 @@
 
     /** Writes the message. {@code again}: it went out before, and may arrive twice. */
     void write(K key, M message, W way, boolean again);
+
+    /** The end is forgotten, and nobody has confirmed it; {@code tries}: how often it was written. */
+    void abandoned(K key, Abandonment why, int tries);
 }
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -177,6 +177,11 @@
         return unreachable && !takesNow();
     }
 
+    /** The list has it. */
+    boolean isListed() {
+        return listed;
+    }
+
     /** The list has it and does not call it draining. */
     boolean takesCalls() {
         return listed && !drains;
@@ -195,6 +200,7 @@
             }
             // The list is late: what has come up since the start it tells of is the new process's already.
             String reason = moved ? "server-moved" : "server-started-anew";
+            eventLog.write(Event.SERVER_STATE, () -> "server=" + id + " state=" + reason + " open=" + open.size());
             List.copyOf(open).stream().filter(l -> moved || l.sinceUs <= launched).forEach(old -> retire(old, reason));
             connect();
         }
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -9,6 +9,7 @@
 import grebewick.core.Clock;
 import grebewick.core.Ending;
 import grebewick.core.EventLog;
+import grebewick.core.EventLog.Event;
 import grebewick.core.Gatekeeper;
 import grebewick.core.Interruption;
 import grebewick.core.Offer;
@@ -160,6 +161,7 @@
         servers.values().removeIf(connections -> {
             boolean gone = !now.containsKey(connections.id);
             if (gone) {
+                logState(connections, "gone-from-list");
                 connections.gone();
                 dead.put(connections.id, Long.MAX_VALUE);
             }
@@ -178,13 +180,28 @@
                     new ServerReconnects(budget, random),
                     clock, timers, checkClient, probeBudget, this, log, eventLog);
                 servers.put(id, connections);
+                logState(connections, "listed");
                 connections.connect();
             }
-            connections.drains = e.entry().stage() != Stage.HEALTHY;
+            boolean drains = e.entry().stage() != Stage.HEALTHY;
+            if (drains != connections.drains) {
+                connections.drains = drains;
+                logState(connections, drains ? "draining" : "healthy");
+            }
         });
         return dead;
     }
 
+    /** A change that the list tells of, with the calls that it concerns. */
+    private void logState(ServerConnections connections, String state) {
+        eventLog.write(Event.SERVER_STATE, () -> {
+            List<CallLeg> legs = legs(connections);
+            long standing = legs.stream().filter(leg -> leg.stands).count();
+            return "server=" + connections.id + " state=" + state + " set-ups=" + (legs.size() - standing) + " standing="
+                + standing;
+        });
+    }
+
     /**
      * Takes back what has not left for a server that drains or is gone; to be called once the core knows of it, and
      * so chooses no such server again. Guards the rule on drains, which counts the first byte that leaves, where the
@@ -434,6 +451,10 @@
             // again would end the present one, as they share the call's id.
             return;
         }
+        if (leg == null || !connections.isListed()) {
+            eventLog.write(Event.LATE_ANSWER, () -> "call=" + EventLog.id(m.call()) + " server=" + connections.id + " connection="
+                + on.number + " reason=" + (leg == null ? "no-call-waits" : "server-gone-from-list"));
+        }
         if (leg != null && leg.connections == connections) {
             leg.stands = true;
             leg.process = on.process.current();
--- a/src/test/java/grebewick/teardown/PendingTeardownsTest.java
+++ b/src/test/java/grebewick/teardown/PendingTeardownsTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -18,6 +19,7 @@
     private static final RetryPolicy POLICY = new RetryPolicy(300, 3, 5_000, 60_000, 100);
     private final Map<String, Integer> ranks = new LinkedHashMap<>();
     private final List<String> written = new ArrayList<>();
+    private final Map<Abandonment, Integer> abandoned = new EnumMap<>(Abandonment.class);
     private final TeardownRoutes<Integer, String, String> ways = new TeardownRoutes<>() {
         @Override
         public String best(Integer key, String but) {
@@ -34,6 +36,11 @@
         public void write(Integer key, String message, String way, boolean again) {
             written.add(message + key + " " + way + (again ? " again" : ""));
         }
+
+        @Override
+        public void abandoned(Integer key, Abandonment why, int tries) {
+            abandoned.merge(why, 1, Integer::sum);
+        }
     };
     private final PendingTeardowns<Integer, String, String> pending = new PendingTeardowns<>(POLICY, ways);
 
@@ -122,6 +129,7 @@
             PendingTeardowns<Integer, String, String> any = new PendingTeardowns<>(POLICY, ways);
             ranks.clear();
             written.clear();
+            abandoned.clear();
             long now = 0;
             int owed = 0;
             int told = 0;
@@ -167,6 +175,9 @@
             now += 60_000;
             any.due(now);
             assertThat(any.counts().open() + any.counts().spent()).as("all have an end, seed " + seed).isZero();
+            assertThat(abandoned.getOrDefault(Abandonment.NO_ANSWER, 0)).isEqualTo((int) any.counts().unheard());
+            assertThat(abandoned.getOrDefault(Abandonment.NO_CONNECTION, 0)).isEqualTo((int) any.counts().lapsed());
+            assertThat(abandoned.getOrDefault(Abandonment.NO_ROOM, 0)).isEqualTo((int) any.counts().dropped());
         }
     }
 }
