--- a/src/test/java/grebewick/build/KnownRedTest.java
+++ b/src/test/java/grebewick/build/KnownRedTest.java
@@ -45,10 +45,11 @@
 
     @Test
     void aListedTestRunsApartAndMayFail() throws Exception {
-        list("a.SomeTest#fails; too slow; issue 7");
+        list("a.SomeTest#fails; make soak, seed 3; too slow; issue 7");
         Outcome outcome = run();
         assertThat(outcome.exitCode()).isZero();
-        assertThat(outcome.output()).contains("known red: a.SomeTest#fails; too slow; issue 7: fails, as known");
+        assertThat(outcome.output())
+            .contains("known red: a.SomeTest#fails; make soak, seed 3; too slow; issue 7: fails, as known");
         assertThat(calls()).containsExactly("-B -ntp verify -Dsurefire.excludesFile=target/known-red.excludes",
             "-B -ntp surefire:test -Dtest=a.SomeTest#fails");
         assertThat(root.resolve("target/known-red.excludes")).hasContent("a/SomeTest#fails");
@@ -56,33 +57,35 @@
 
     @Test
     void aListedTestThatPassesIsToBeRemoved() throws Exception {
-        list("a.SomeTest#passes; mended since; issue 7");
+        list("a.SomeTest#passes; make test; mended since; issue 7");
         Outcome outcome = run();
         assertThat(outcome.exitCode()).isZero();
-        assertThat(outcome.output()).contains("known red: a.SomeTest#passes; mended since; issue 7: passes now: remove it");
+        assertThat(outcome.output())
+            .contains("known red: a.SomeTest#passes; make test; mended since; issue 7: passes now: remove it");
     }
 
     @Test
     void aTestThatDoesNotRunFailsTheBuildAndTheOthersAreStillPrinted() throws Exception {
-        list("a.SomeTest#absent; renamed; issue 7", "a.SomeTest#dies; its process ends; issue 8", "a.SomeTest#fails; c; issue 9");
+        list("a.SomeTest#absent; make test; renamed; issue 7", "a.SomeTest#dies; make test; its process ends; issue 8",
+            "a.SomeTest#fails; make test; c; issue 9");
         Outcome outcome = run();
         assertThat(outcome.exitCode()).isNotZero();
-        assertThat(outcome.output()).contains("#absent; renamed; issue 7: did not run", "issue 8: did not run",
+        assertThat(outcome.output()).contains("#absent; make test; renamed; issue 7: did not run", "issue 8: did not run",
             "issue 9: fails, as known");
     }
 
     @Test
     void failuresOfOtherTestsStillFailTheBuild() throws Exception {
         Files.createFile(root.resolve("others-fail"));
-        list("a.SomeTest#fails; too slow; issue 7");
+        list("a.SomeTest#fails; make soak, seed 3; too slow; issue 7");
         assertThat(run().exitCode()).isNotZero();
     }
 
     @Test
     void aMalformedLineFailsBeforeAnyTestRuns() throws Exception {
-        for (String line : List.of("a.SomeTest; the whole class; issue 7", "a.SomeTest#some; issue 7",
-            "a.SomeTest#*; all; issue 7",
-            "a.SomeTest#some; no issue", "")) {
+        for (String line : List.of("a.SomeTest; make test; the whole class; issue 7", "a.SomeTest#some; make test; issue 7",
+            "a.SomeTest#some; issue 7", "a.SomeTest#*; make test; all; issue 7", "a.SomeTest#some; make test; no issue",
+            "a.SomeTest#some; make test; seen; no issue", "")) {
             list(line);
             assertThat(run().exitCode()).as(line).isNotZero();
         }
@@ -91,7 +94,7 @@
 
     @Test
     void moreThanThreeLinesFailBeforeAnyTestRuns() throws Exception {
-        String line = "a.SomeTest#fails; too slow; issue 7";
+        String line = "a.SomeTest#fails; make soak, seed 3; too slow; issue 7";
         list(line, line, line, line);
         assertThat(run().exitCode()).isNotZero();
         assertThat(root.resolve("calls")).doesNotExist();
