Failing test: a call answered after the list dropped its server is never ended

Change: the trials' faults UNLISTED and UNLISTED_THEN_VANISH, _DIE, _HANG, _REPLACED; the proxy holds what a server says while it still hears.

--- a/src/main/java/grebewick/lab/faults/FaultProxy.java
+++ b/src/main/java/grebewick/lab/faults/FaultProxy.java
@@ -77,6 +77,11 @@
         connections.forEach(connection -> connection.hold(true, true));
     }
 
+    /** What the process says is on its way for longer, until {@link #restore}; what it is told arrives. */
+    void holdAnswers() {
+        connections.forEach(connection -> connection.hold(false, true));
+    }
+
     private void stopListening() throws IOException {
         listener.close();
         unreachable = new UnreachablePort(port);
--- a/src/main/java/grebewick/lab/faults/VanishingFault.java
+++ b/src/main/java/grebewick/lab/faults/VanishingFault.java
@@ -27,7 +27,17 @@
     /** Processes hang for 6 s and go on: the calls still stand. */
     HANG_FOR_6_S(false, true),
     /** All connections with running processes are reset at once, and again 1 s later: the calls still stand. */
-    RESETS(false, true);
+    RESETS(false, true),
+    /** The list drops the servers while set-ups are out there; these are answered once that was read, then machines vanish. */
+    UNLISTED_THEN_VANISH(true, true),
+    /** The same, and then the processes die with resets. */
+    UNLISTED_THEN_DIE(true, true),
+    /** The same, and then the processes hang for good. */
+    UNLISTED_THEN_HANG(true, true),
+    /** The same, and then the processes go on with their calls. */
+    UNLISTED(true, true),
+    /** The same, and then other processes under new names have the addresses; the old connections are reset. */
+    UNLISTED_THEN_REPLACED(true, true);
 
     /** Whether the calls on these servers are over with the fault. */
     final boolean endsCalls;
@@ -43,10 +53,15 @@
         return this == VANISH_WITHOUT_CALLERS || this == DIE_WITHOUT_CALLERS;
     }
 
+    /** Whether the list drops the servers while set-ups are out there. */
+    boolean isUnlisted() {
+        return compareTo(UNLISTED_THEN_VANISH) >= 0;
+    }
+
     /** What becomes of the old connections where other processes take the addresses over; null: none do. */
     OldConnections replacement() {
         return switch (this) {
-            case REPLACED_WITH_RESETS -> OldConnections.RESET;
+            case REPLACED_WITH_RESETS, UNLISTED_THEN_REPLACED -> OldConnections.RESET;
             case REPLACED_RESET_WHEN_WRITTEN_TO -> OldConnections.RESET_WHEN_WRITTEN_TO;
             case REPLACED_OLD_SILENT -> OldConnections.SILENT;
             default -> null;
--- a/src/main/java/grebewick/lab/faults/VanishingTrial.java
+++ b/src/main/java/grebewick/lab/faults/VanishingTrial.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
@@ -43,6 +44,12 @@
     private static final long CUT_MS = 6_000;
     private static final long CALLERS_AWAY_MS = 3_000;
     private static final long RESETS_APART_MS = 1_000;
+    /** ms in which set-ups gather whose answers are on their way. */
+    private static final long SET_UPS_GATHER_MS = 200;
+    private static final int UNLISTED_CALLS_A_SECOND = 40;
+    private static final String READ_THAT_GONE = "state=gone-from-list";
+    /** ms in which the answers that were on their way arrive. */
+    private static final long ANSWERS_ARRIVE_MS = 200;
     /** ms after the fault in which ends are listened for: more than the 8 s that the rule gives. */
     private static final long LISTEN_MS = 12_000;
     private static final long READY_S = 20;
@@ -54,6 +61,9 @@
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final List<StandInServer> servers = new ArrayList<>();
     private final List<FaultProxy> proxies = new ArrayList<>();
+    private final List<StandInNames.Host> hosts = new ArrayList<>();
+    /** Calls that each server has answered, over or not. */
+    private final Map<Integer, Set<Long>> answered = new ConcurrentHashMap<>();
     private final List<String> log = new CopyOnWriteArrayList<>();
     private final StandInNames names;
     private final GatekeeperProcess gatekeeper;
@@ -65,9 +75,11 @@
         throws Exception {
         this.fault = fault;
         this.seed = seed;
-        List<StandInNames.Host> hosts = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
+            Set<Long> calls = ConcurrentHashMap.newKeySet();
+            answered.put(i, calls);
             StandInServer server = new StandInServer(vertx, ANSWER_MS, HOLD_MS, LINES, id -> {});
+            server.onCall(id -> {}, calls::add);
             servers.add(server);
             FaultProxy proxy = new FaultProxy(Futures.await(server.listen(0)));
             proxies.add(proxy);
@@ -107,9 +119,10 @@
         Map<Integer, Set<Long>> standing = standing();
         long struckUs = nowUs();
         strike();
-        await(patienceS, () -> result(standing, struckUs).untold().isEmpty());
+        Map<Integer, Set<Long>> struck = fault.isUnlisted() ? stood() : standing;
+        await(patienceS, () -> result(struck, struckUs).untold().isEmpty());
         vertx.cancelTimer(timer);
-        return result(standing, struckUs);
+        return result(struck, struckUs);
     }
 
     private static int count(Map<Integer, Set<Long>> standing) {
@@ -142,12 +155,13 @@
         long leftMs = LISTEN_MS - (nowUs() - struckUs) / 1000;
         Thread.sleep(Math.max(0, leftMs));
         vertx.cancelTimer(timer);
-        return result(standing, struckUs);
+        return result(fault.isUnlisted() ? stood() : standing, struckUs);
     }
 
     private long call() {
         Random random = new Random(seed);
-        return vertx.setPeriodic(1000 / CALLS_A_SECOND, t -> callers.call(random.nextInt(SERVERS), nowUs()));
+        int aSecond = fault.isUnlisted() ? UNLISTED_CALLS_A_SECOND : CALLS_A_SECOND;
+        return vertx.setPeriodic(1000 / aSecond, t -> callers.call(random.nextInt(SERVERS), nowUs()));
     }
 
     /** Calls that stand, as their callers and their servers know, by struck server. */
@@ -163,7 +177,30 @@
         });
     }
 
+    /** Calls that a struck server alone has answered and whose callers know of it, be they over or not. */
+    private Map<Integer, Set<Long>> stood() throws Exception {
+        return Futures.onLoop(vertx, () -> {
+            Map<Integer, Set<Long>> stood = new TreeMap<>();
+            for (int i = 0; i < STRUCK; i++) {
+                Set<Long> calls = new HashSet<>(callers.standingCalls());
+                calls.addAll(callers.overUs().keySet());
+                calls.retainAll(answered.get(i));
+                int at = i;
+                answered.forEach((server, others) -> {
+                    if (server != at) {
+                        calls.removeAll(others);
+                    }
+                });
+                stood.put(i, calls);
+            }
+            return stood;
+        });
+    }
+
     private void strike() throws Exception {
+        if (fault.isUnlisted()) {
+            leaveListWithSetUpsOut();
+        }
         switch (fault) {
             case VANISH, VANISH_DISCOVERY_SILENT -> eachStruck(this::vanish);
             case REPLACED_WITH_RESETS, REPLACED_RESET_WHEN_WRITTEN_TO, REPLACED_OLD_SILENT -> {
@@ -171,6 +208,15 @@
                 Thread.sleep(REPLACED_AFTER_MS);
                 eachStruck(this::replace);
             }
+            case UNLISTED -> {}
+            case UNLISTED_THEN_VANISH -> eachStruck(this::vanish);
+            case UNLISTED_THEN_DIE -> eachStruck(this::die);
+            case UNLISTED_THEN_HANG -> eachStruck(i -> proxies.get(i).hang());
+            case UNLISTED_THEN_REPLACED -> {
+                eachStruck(this::vanish);
+                eachStruck(this::replace);
+                onLoop(() -> names.list(renamed()));
+            }
             case DIE -> eachStruck(this::die);
             case HANG_THEN_DIE -> {
                 eachStruck(i -> proxies.get(i).hang());
@@ -204,6 +250,25 @@
         }
     }
 
+    /** The answers of these set-ups come once the gatekeeper has read that their servers are gone. */
+    private void leaveListWithSetUpsOut() throws Exception {
+        eachStruck(i -> proxies.get(i).holdAnswers());
+        Thread.sleep(SET_UPS_GATHER_MS);
+        onLoop(() -> names.list(hosts.subList(STRUCK, SERVERS)));
+        await((int) READY_S, () -> log.stream().filter(line -> line.contains(READ_THAT_GONE)).count() == STRUCK);
+        eachStruck(i -> proxies.get(i).restore());
+        Thread.sleep(ANSWERS_ARRIVE_MS);
+    }
+
+    /** The list with new names at the struck servers' addresses. */
+    private List<StandInNames.Host> renamed() {
+        List<StandInNames.Host> now = new ArrayList<>(hosts);
+        for (int i = 0; i < STRUCK; i++) {
+            now.set(i, new StandInNames.Host("r-" + i, "east", hosts.get(i).port(), i, false, System.currentTimeMillis()));
+        }
+        return now;
+    }
+
     private interface Strike {
         void at(int server) throws Exception;
     }
--- a/src/test/java/grebewick/lab/faults/VanishingTrialTest.java
+++ b/src/test/java/grebewick/lab/faults/VanishingTrialTest.java
@@ -41,4 +41,13 @@
     void callersAreToldOfCallsAtServersThatDied(VanishingFault fault) throws Exception {
         assertAllTold(play(fault));
     }
+
+    /** Incident 8a922c: the server's answer comes after the news that it is gone. */
+    @ParameterizedTest
+    @EnumSource(names = {"UNLISTED_THEN_VANISH", "UNLISTED_THEN_DIE"})
+    void callersAreToldOfCallsAnsweredAfterTheirServerLeftTheList(VanishingFault fault) throws Exception {
+        TrialResult result = play(fault);
+        assertThat(result.log()).anyMatch(line -> line.contains("reason=server-gone-from-list"));
+        assertAllTold(result);
+    }
 }
