A call answered after its server left the list is over at once, on both sides

Cause: the news that a server is gone ended the calls that stood there at that moment. Why it works: the decision is the core's, at the one place where an attempt begins to stand, for every wire: a server that the list does not have cannot hold a call. The caller gets the answer and its release, the server a release. Calls that stood as the list was read are ended as before.

--- a/src/main/java/grebewick/core/AttemptRules.java
+++ b/src/main/java/grebewick/core/AttemptRules.java
@@ -27,6 +27,11 @@
         }
     }
 
+    /** Whether the list has a server, draining or not. */
+    boolean isListed(String server) {
+        return stages.containsKey(server);
+    }
+
     /** Whether a server is listed and takes new calls. */
     boolean isHealthy(String server) {
         return stages.get(server) == Stage.HEALTHY;
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -150,7 +150,10 @@
             metrics));
     }
 
-    /** An attempt stands; false where nothing waits for it any more and the server is to release it. */
+    /**
+     * An attempt stands; false where nothing waits for it any more and the server is to release it. At a server that has left
+     * the list it is over at once.
+     */
     public boolean stood(long id, int copy, P description, List<Double> metrics) {
         CallState<P> call = calls.find(id);
         if (call == null || !call.hasOpen(copy) || call.answered) {
@@ -167,6 +170,11 @@
                 events.add(new Checked(State.OK, attempt.server, 0, metrics));
             }
             events.add(new Started(id, copy, attempt.server, nowUs - attempt.chosenUs));
+            if (!rules.isListed(attempt.server)) {
+                // The news that ended all calls there has come before this one stood.
+                interrupt(call, Interruption.GONE_FROM_LIST);
+                endInterruptedCalls();
+            }
         });
         return true;
     }
--- /dev/null
+++ b/src/test/java/grebewick/UnlistedServerTest.java
@@ -0,0 +1,73 @@
+package grebewick;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import grebewick.config.Address;
+import grebewick.config.Endpoint;
+import grebewick.config.NodeConfig;
+import grebewick.core.CallControl.Scope;
+import grebewick.core.CallControl.Stage;
+import grebewick.play.Scenario;
+import grebewick.play.Sites;
+import grebewick.sip.SipDialect;
+import grebewick.trunk.TrunkDialect;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A set-up is out at server s1 as the list changes; its answer is on its way. Server s2 is listed throughout. */
+class UnlistedServerTest {
+    private static final int SOCKETS = 64;
+
+    private final Scenario s = new Scenario();
+    private final List<String> log = new CopyOnWriteArrayList<>();
+    private Node node;
+    private Endpoint one;
+    private Endpoint two;
+
+    @BeforeEach
+    void aSetUpIsOutAtTheFirstServer() {
+        one = endpoint("s1", s.server("s1", new TrunkDialect()), 0, 0);
+        two = endpoint("s2", s.server("s2", new TrunkDialect()), 1, 0);
+        String settings = Sites.SETTINGS.replace("\"AttemptsCap\":4", "\"AttemptsCap\":4,\"Probes\":true");
+        int port = s.await(() -> {
+            node = new Node(s.vertx, new NodeConfig("n0", new Address("127.0.0.1", 0), 1, null, List.of(), null, null, 0,
+                List.of(one, two), SOCKETS, Sites.settings(settings)), s.clock, s.clock, log::add);
+            return node.start();
+        });
+        s.client("c", new SipDialect(), port);
+        s.play("s1 reached 2\n s2 has no more\n c > INVITE 01\n s1 < set-up 01*");
+    }
+
+    @AfterEach
+    void noCallIsLeft() {
+        s.until(() -> node.calls() == 0);
+        s.close();
+    }
+
+    private static Endpoint endpoint(String id, int port, int place, long startedAtUs) {
+        return new Endpoint(Sites.entry(id, place, Stage.HEALTHY, startedAtUs), new Address("127.0.0.1", port));
+    }
+
+    private void list(Endpoint... now) {
+        s.on(() -> {
+            node.tell(Scope.COMPLETE, List.of(now));
+            return null;
+        });
+    }
+
+    @Test
+    void aCallAnsweredAfterItsServerLeftTheListIsReleasedOnBothSides() {
+        list(two);
+        s.play("""
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c < BYE 01 41
+            c > 200 BYE 01
+            s1 < release 01 16
+            c has no more""");
+        assertThat(log).anyMatch(line -> line.startsWith("late-answer") && line.contains("server-gone-from-list"));
+    }
+}
--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -119,6 +119,18 @@
         assertThat(late.calls()).isZero();
     }
 
+    @Test
+    void aCallAnsweredAfterItsServerLeftTheListIsReleasedOnBothSides() {
+        long c = call();
+        acts(new Attempt(c, "s1", 0));
+        core.fleet(new Fleet(Scope.COMPLETE, 2, List.of(Sites.entry("s2", 1, Stage.HEALTHY, 0))), Map.of("s1", Long.MAX_VALUE));
+        assertThat(core.stood(c, 0, "desc", List.of())).isTrue();
+        assertThat(happened).containsExactly("set-up s1", "stands", "release s1", "released CUT");
+        assertThat(core.calls() + core.unanswered()).isZero();
+        assertThat(seen.get(seen.size() - 1)).isInstanceOfSatisfying(Result.class,
+            result -> assertThat(result.state()).isEqualTo(State.RESET_BY_PEER));
+    }
+
     /** Guards calls that may not be repeated: a refusal says that trying again is harmless. */
     @Test
     void whoIsAnsweredAtTheEndIsRefusedOnlyIfNothingCanHaveRun() {
