A server that leaves the list and is back keeps its connections, and their calls a lease

A call set up before its server left the list and answered once it was listed again stood for ever if that server then vanished. The same class as the incident: what is still open when something is taken out of its register has nobody who ends it. A connection that comes up to show that an address can be reached, after its server was dropped, no longer marks another one or fails.

--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -97,6 +97,7 @@
     /** Null: servers may be tested. */
     private final AddressCheck addressCheck;
     private Runnable cancelRetry = () -> {};
+    private Runnable cancelDeparture = () -> {};
     private long retryUs = Long.MAX_VALUE;
     private boolean unreachable;
     /** A further connection was refused while others were up: once the last of them is lost, that is to be asked again. */
@@ -281,12 +282,11 @@
 
     /** A connection that was opened to show that the address can be reached. */
     private void reached(NetSocket socket) {
-        begin(socket);
-        open.get(open.size() - 1).isCheck = true;
+        begin(socket).isCheck = true;
         processes.reached(clock.nowUs());
     }
 
-    private void begin(NetSocket socket) {
+    private ServerConnection begin(NetSocket socket) {
         ServerConnection connection = new ServerConnection(socket, nextNumber++, processes.connected(clock.nowUs()),
             clock.nowUs());
         open.add(connection);
@@ -309,10 +309,11 @@
         if (!listed) {
             // Before anything that waits for it goes out there.
             drop(connection, "server-gone-from-list");
-            return;
+            return connection;
         }
         owner.up(this);
         refill();
+        return connection;
     }
 
     private void read(ServerConnection connection, Buffer bytes) {
@@ -391,7 +392,7 @@
     }
 
     private int kept() {
-        return reconnects.spare(quota.spare(SPARE), clock.nowUs());
+        return !listed ? 0 : reconnects.spare(quota.spare(SPARE), clock.nowUs());
     }
 
     private void refill() {
@@ -592,9 +593,20 @@
     }
 
     /** It is gone from the list: no new connection; one that stays open in silence is closed. */
-    void gone() {
+    void unlist() {
         listed = false;
         owed.clear();
-        timers.after(GONE_US, () -> List.copyOf(open).forEach(c -> drop(c, "server-gone-from-list")));
+        cancelDeparture = timers.after(GONE_US, () -> List.copyOf(open).forEach(c -> drop(c, "server-gone-from-list")));
+    }
+
+    /** The list has it again. */
+    void relist() {
+        listed = true;
+        cancelDeparture.run();
+    }
+
+    /** No connection is left, and none is coming up. */
+    boolean isClosed() {
+        return open.isEmpty() && !connecting;
     }
 }
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -60,7 +60,7 @@
     private final Consumer<String> log;
     private final EventLog eventLog;
     private final ProbeBudget probeBudget;
-    private final Map<String, ServerConnections> servers = new TreeMap<>();
+    private final ServerRegistry servers;
     private final Map<Long, CallLeg> byCall = new HashMap<>();
     private final Map<Long, CallLeg> byId = new HashMap<>();
     private final Map<Long, Probe> probes = new HashMap<>();
@@ -103,12 +103,18 @@
             set.bounds().probes() ? set.fees().probe() : Math.max(CONNECTION_FEE, set.fees().handshake()));
         checkClient = set.bounds().probes() ? null : vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout(AddressCheck.CONNECT_MS));
+        servers = new ServerRegistry(this::connections);
         timers.after(SWEEP_US, this::sweep);
     }
 
+    private ServerConnections connections(Endpoint e) {
+        return new ServerConnections(e.entry().server(), e.address(), e.entry().startedAtUs(), client, quota,
+            new ServerReconnects(budget, random), clock, timers, checkClient, probeBudget, this, log, eventLog);
+    }
+
     private void sweep() {
         timers.after(SWEEP_US, this::sweep);
-        servers.values().forEach(connections -> connections.sweep(clock.nowUs()));
+        servers.sweep(clock.nowUs());
     }
 
     /** Who is told of the ends of calls that stood before this process started: they belong to no process. */
@@ -121,18 +127,18 @@
         if (own.containsKey(id)) {
             return false;
         }
-        servers.values().forEach(connections -> connections.send(null, of(RELEASE, id, NORMAL_CLEARING)));
+        servers.all().forEach(connections -> connections.send(null, of(RELEASE, id, NORMAL_CLEARING)));
         return true;
     }
 
     /** Messages that wait for a connection to their server. */
     public int owed() {
-        return servers.values().stream().mapToInt(ServerConnections::owed).sum();
+        return servers.all().stream().mapToInt(ServerConnections::owed).sum();
     }
 
     /** Bytes that servers were sent and the network has not taken. */
     public long unwritten() {
-        return servers.values().stream().mapToLong(ServerConnections::unwritten).sum();
+        return servers.all().stream().mapToLong(ServerConnections::unwritten).sum();
     }
 
     /** Messages from servers since the start. */
@@ -158,31 +164,22 @@
         Map<String, Endpoint> now = new TreeMap<>();
         Map<String, Long> dead = new TreeMap<>();
         endpoints.forEach(e -> now.put(e.entry().server(), e));
-        servers.values().removeIf(connections -> {
-            boolean gone = !now.containsKey(connections.id);
-            if (gone) {
-                logState(connections, "gone-from-list");
-                connections.gone();
-                dead.put(connections.id, Long.MAX_VALUE);
-            }
-            return gone;
+        servers.unlistAllBut(now.keySet()).forEach(connections -> {
+            logState(connections, "gone-from-list");
+            dead.put(connections.id, Long.MAX_VALUE);
         });
         quota.servers(now.size());
         now.forEach((id, e) -> {
-            ServerConnections connections = servers.get(id);
-            if (connections != null) {
-                if (e.entry().startedAtUs() > connections.launchedUs) {
-                    dead.put(id, e.entry().startedAtUs());
-                }
-                connections.update(e.address(), e.entry().startedAtUs());
-            } else {
-                connections = new ServerConnections(id, e.address(), e.entry().startedAtUs(), client, quota,
-                    new ServerReconnects(budget, random),
-                    clock, timers, checkClient, probeBudget, this, log, eventLog);
-                servers.put(id, connections);
+            ServerConnections connections = servers.find(id);
+            if (connections == null) {
+                connections = servers.list(e);
                 logState(connections, "listed");
                 connections.connect();
             }
+            if (e.entry().startedAtUs() > connections.launchedUs) {
+                dead.put(id, e.entry().startedAtUs());
+            }
+            connections.update(e.address(), e.entry().startedAtUs());
             boolean drains = e.entry().stage() != Stage.HEALTHY;
             if (drains != connections.drains) {
                 connections.drains = drains;
@@ -225,7 +222,7 @@
 
     @Override
     public void setUp(long call, int copy, String server, Offer<byte[]> offer, long waitUs) {
-        ServerConnections connections = servers.get(server);
+        ServerConnections connections = servers.find(server);
         if (connections == null) {
             core.ended(call, copy, State.IGNORED, 0, List.of());
             return;
@@ -294,7 +291,7 @@
 
     @Override
     public void probe(String server) {
-        ServerConnections connections = servers.get(server);
+        ServerConnections connections = servers.find(server);
         if (connections == null) {
             core.checked(server, State.CONNECT_ERROR, 0, List.of());
             return;
@@ -311,7 +308,7 @@
 
     @Override
     public void closeIdle(String server) {
-        ServerConnections connections = servers.get(server);
+        ServerConnections connections = servers.find(server);
         if (connections != null && byCall.values().stream().noneMatch(leg -> leg.connections == connections)) {
             connections.closeIdle();
         }
@@ -406,7 +403,7 @@
 
     /** This process ends soon: whether servers with calls live is to be known by then. */
     public void probeOften() {
-        servers.values().forEach(connections -> connections.processes.probeOften());
+        servers.all().forEach(connections -> connections.processes.probeOften());
     }
 
     /**
@@ -414,7 +411,7 @@
      * callers later.
      */
     public void endCallsOfSilentServers() {
-        for (ServerConnections connections : servers.values()) {
+        for (ServerConnections connections : servers.all()) {
             for (ProcessLease process : connections.processes.suspects(clock.nowUs())) {
                 core.interrupted(callsAt(process), Interruption.SERVER_SILENT);
             }
--- a/src/test/java/grebewick/UnlistedServerTest.java
+++ b/src/test/java/grebewick/UnlistedServerTest.java
@@ -20,6 +20,8 @@
 /** A set-up is out at server s1 as the list changes; its answer is on its way. Server s2 is listed throughout. */
 class UnlistedServerTest {
     private static final int SOCKETS = 64;
+    private static final int STEP_MS = 100;
+    private static final int TOLD_WITHIN_MS = 8_000;
 
     private final Scenario s = new Scenario();
     private final List<String> log = new CopyOnWriteArrayList<>();
@@ -70,4 +72,15 @@
             c has no more""");
         assertThat(log).anyMatch(line -> line.startsWith("late-answer") && line.contains("server-gone-from-list"));
     }
+
+    @Test
+    void aCallAnsweredAfterItsServerIsListedAgainEndsWithTheLeaseOfItsProcess() {
+        list(two);
+        list(one, two);
+        s.play("s1 > answer 01 desc\n c < 200 INVITE 01 desc\n c has no more\n s1 hangs");
+        for (int passed = 0; passed < TOLD_WITHIN_MS; passed += STEP_MS) {
+            s.play("wait " + STEP_MS + "\n s2 has no more");
+        }
+        s.play("c < BYE 01 41\n c > 200 BYE 01");
+    }
 }
