Calls of a server's former process are over with the news of its new start

A call whose answer was read after the news that its server had started anew stood at a process that was gone. The next connection, within 4 s, passed for the same process, so that its lease was renewed for ever. Cause: the news ended calls that stood before the moment of the start; which process a call is at was read off the time at which its answer was read. Why it works: a connection that came up before the start reaches the former process, whenever its bytes are read. Calls set up on one are ended with the news, and one that stands later is over at once. Connections since the start keep their calls.

--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -125,6 +125,7 @@
         // The lines first: the module may send to a new server within the turn that tells of it.
         Map<String, Long> dead = trunk.list(list);
         core.fleet(new Fleet(scope, 0, list.stream().map(Endpoint::entry).toList()), dead);
+        trunk.endCallsOfFormerProcesses();
         trunk.recall();
     }
 
--- a/src/main/java/grebewick/trunk/ServerConnection.java
+++ b/src/main/java/grebewick/trunk/ServerConnection.java
@@ -32,6 +32,8 @@
     boolean retired;
     /** It was retired for its silence alone. */
     boolean doubted;
+    /** The list says that its server has started anew since it came up. */
+    boolean isOfFormerProcess;
     /** This side has ended it, and waits for the other to do so. */
     boolean finishing;
     /** Reset, or closed from this side with the other's end not heard. */
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -178,6 +178,9 @@
             }
             if (e.entry().startedAtUs() > connections.launchedUs) {
                 dead.put(id, e.entry().startedAtUs());
+                // Some may be closed already, and calls that were set up on them stand.
+                legs(connections).stream().filter(leg -> leg.on != null && leg.on.sinceUs <= e.entry().startedAtUs())
+                    .forEach(leg -> leg.on.isOfFormerProcess = true);
             }
             connections.update(e.address(), e.entry().startedAtUs());
             boolean drains = e.entry().stage() != Stage.HEALTHY;
@@ -199,6 +202,12 @@
         });
     }
 
+    /** Ends calls of processes that have been replaced; to be called once the core knows of the list. */
+    public void endCallsOfFormerProcesses() {
+        core.interrupted(byCall.values().stream().filter(leg -> leg.stands && leg.on.isOfFormerProcess).map(leg -> leg.call)
+            .sorted().toList(), Interruption.GONE_FROM_LIST);
+    }
+
     /**
      * Takes back what has not left for a server that drains or is gone; to be called once the core knows of it, and
      * so chooses no such server again. Guards the rule on drains, which counts the first byte that leaves, where the
@@ -457,6 +466,9 @@
             leg.process = on.process.current();
             connections.processes.callStands(leg.process);
             if (core.stood(leg.call, leg.copy, m.description(), reports.read(m.report()))) {
+                if (on.isOfFormerProcess) {
+                    core.interrupted(List.of(leg.call), Interruption.GONE_FROM_LIST);
+                }
                 return;
             }
             forget(leg);
--- a/src/test/java/grebewick/UnlistedServerTest.java
+++ b/src/test/java/grebewick/UnlistedServerTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** A set-up is out at server s1 as the list changes; its answer is on its way. Server s2 is listed throughout. */
+/** A set-up is out at server s1 as the list changes, and its answer is on its way. Server s2 is listed throughout. */
 class UnlistedServerTest {
     private static final int SOCKETS = 64;
     private static final int STEP_MS = 100;
@@ -83,4 +83,29 @@
         }
         s.play("c < BYE 01 41\n c > 200 BYE 01");
     }
+
+    @Test
+    void aCallAnsweredAfterTheNewsThatItsServerStartedAnewIsReleasedOnBothSides() {
+        list(startedAt(s.clock.nowUs()), two);
+        s.play("""
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c < BYE 01 41
+            c > 200 BYE 01
+            s1 < release 01 16
+            c has no more""");
+    }
+
+    /** A late loop reads the answer after the start that the list tells of. */
+    @Test
+    void aCallOfAProcessBeforeTheStartIsReleasedThoughItsAnswerWasReadAfterThat() {
+        long startedAtUs = s.clock.nowUs() + 10_000;
+        s.play("wait 100\n s1 > answer 01 desc\n c < 200 INVITE 01 desc");
+        list(startedAt(startedAtUs), two);
+        s.play("c < BYE 01 41\n c > 200 BYE 01\n s1 < release 01 16\n c has no more");
+    }
+
+    private Endpoint startedAt(long us) {
+        return endpoint("s1", one.address().port(), 0, us);
+    }
 }
