Diameter: a client is asked to leave once it has its answers and its sessions' ends

Callers would see: at SIGTERM a request in hand is never answered on its connection. Cause: DiameterFront.stop sent a DPR on each connection at once; a client answers it at once, this side closes, and what the client waits for is lost with the connection. A client that came after the signal was not asked to leave at all. Why it works: the DPR leaves after the last answer on the connection and the last confirmed end of the client's sessions; new requests are refused meanwhile. Sessions that wait for an answer are kept by connection, so that a lost one costs as much as it has open.

--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -17,6 +17,7 @@
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -50,6 +51,11 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Map<Connection, Watchdog> watchdogs = new HashMap<>();
     private final Map<String, Session> sessions = new HashMap<>();
+    /** Sessions that wait for their answer, by the connection that it goes to. */
+    private final Map<Connection, Set<Session>> waiting = new HashMap<>();
+    /** By client: ends of sessions that it has not confirmed yet. */
+    private final Map<String, Integer> endsUntold = new HashMap<>();
+    private final Set<Connection> askedToLeave = new HashSet<>();
     private final Map<String, DiameterMessage> repeats = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -89,10 +95,24 @@
         connections.add(new Connection(socket, me, false, timers, config.watchdogUs(), this, log));
     }
 
-    /** New sessions are refused, and the clients asked to go. */
+    /** New sessions are refused, and each client is asked to go once it has what it waits for. */
     void stop() {
         stopping = true;
-        List.copyOf(connections).stream().filter(Connection::isOpen).forEach(Connection::disconnect);
+        List.copyOf(connections).forEach(this::askToLeave);
+    }
+
+    /** What a client has asked for is lost with its connection: the DPR comes after the last answer and the last end. */
+    private void askToLeave(Connection c) {
+        if (stopping && c.isOpen() && !waiting.containsKey(c) && !endsUntold.containsKey(c.peer()) && askedToLeave.add(c)) {
+            c.disconnect();
+        }
+    }
+
+    private void endIsTold(Session s) {
+        endsUntold.computeIfPresent(s.on.peer(), (client, ends) -> ends > 1 ? ends - 1 : null);
+        for (Connection c : List.copyOf(connections)) {
+            askToLeave(c);
+        }
     }
 
     // ---- connections
@@ -124,6 +144,7 @@
         watchdogs.put(c, watchdog);
         watchdog.up();
         teardowns.found(c);
+        askToLeave(c);
     }
 
     @Override
@@ -139,18 +160,18 @@
     @Override
     public void closed(Connection c) {
         connections.remove(c);
+        askedToLeave.remove(c);
         teardowns.lost(c);
         Watchdog watchdog = watchdogs.remove(c);
         if (watchdog != null) {
             watchdog.down();
         }
-        for (Session s : List.copyOf(sessions.values())) {
-            if (s.on == c && !s.answered) {
-                s.answered = true;
-                sessions.remove(s.id, s);
-                repeats.remove(s.key);
-                core.hangup(s.call);
-            }
+        Set<Session> hungUp = waiting.remove(c);
+        for (Session s : hungUp == null ? List.<Session>of() : List.copyOf(hungUp)) {
+            s.answered = true;
+            sessions.remove(s.id, s);
+            repeats.remove(s.key);
+            core.hangup(s.call);
         }
     }
 
@@ -211,6 +232,7 @@
             return;
         }
         sessions.put(s.id, s);
+        waiting.computeIfAbsent(on, c -> new LinkedHashSet<>()).add(s);
         s.call = core.offer(new Offer<>(nextOffer++, config.band(), m.text(Avp.USER_NAME), config.requestUs(),
             m.mayBeRepeat(), false, 1, group(m.text(Avp.DESTINATION_HOST)), -1, m), s);
     }
@@ -236,8 +258,10 @@
             throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
         }
         sessions.remove(s.id, s);
-        teardowns.told(s);
         on.send(m.answer(me, SUCCESS));
+        if (teardowns.told(s)) {
+            endIsTold(s);
+        }
         if (!s.aborted) {
             core.releasedByCaller(s.call);
         }
@@ -268,8 +292,10 @@
         /** The one place where an AAR gets its answer. */
         private void answer(DiameterMessage answer) {
             answered = true;
+            waiting.computeIfPresent(on, (c, open) -> open.remove(this) && open.isEmpty() ? null : open);
             repeats.put(key, answer);
             on.send(answer);
+            askToLeave(on);
         }
 
         @Override
@@ -315,6 +341,7 @@
             DiameterMessage asr = new DiameterMessage(REQUEST | PROXIABLE, ABORT_SESSION, NASREQ, 0, nextEndToEnd++, avps);
             // The client ends the session with an STR; one that stays away has no session to come back to.
             timers.after(config.requestUs(), () -> sessions.remove(id, this));
+            endsUntold.merge(on.peer(), 1, Integer::sum);
             teardowns.owe(this, asr, on);
         }
     }
@@ -340,8 +367,8 @@
         public void write(Session s, DiameterMessage asr, Connection way, boolean again) {
             // Its answer settles it, whatever it says: a session that is not known is ended too.
             way.request(again ? asr.with(asr.flags() | RETRANSMITTED, 0, asr.avps()) : asr, asa -> {
-                if (asa != null) {
-                    teardowns.told(s);
+                if (asa != null && teardowns.told(s)) {
+                    endIsTold(s);
                 }
             });
         }
@@ -350,6 +377,7 @@
         public void abandoned(Session s, Abandonment why, int tries) {
             eventLog.write(Event.TEARDOWN_ABANDONED, () -> "session=" + s.id + " reason=" + why + " tries=" + tries + " client="
                 + s.on.peer());
+            endIsTold(s);
         }
     }
 }
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -442,6 +442,34 @@
             c < STA s 2001""").until(() -> node.pendingTeardowns() == 0);
     }
 
+    @Test
+    void aClientThatIsAskedToLeaveIsAnsweredFirst() {
+        s.play("c > AAR s\n p1 < AAR s");
+        s.on(() -> {
+            node.stop();
+            return null;
+        });
+        s.play("""
+            c has no more
+            c > AAR late
+            c < AAA late 3004 E
+            p1 > AAA s 5003
+            c < AAA s 5003
+            c < DPR
+            c > DPA
+            c sees the end""");
+    }
+
+    @Test
+    void whoAsksNothingIsAskedToLeaveAtOnceAndWhoComesLaterToo() {
+        s.on(() -> {
+            node.stop();
+            return null;
+        });
+        s.client("b", new DiameterDialect("b", 1), port);
+        s.play("c < DPR\n c > DPA\n c sees the end\n b > CER\n b < CEA 2001\n b < DPR\n b > DPA\n b sees the end");
+    }
+
     /** A peer that reads nothing: what the network has not taken of a lost client's request goes with its connection. */
     @Test
     void aRequestThatIsStuckInAConnectionIsTakenBackWithIt() throws Exception {
