Diameter: requests on a connection that this side closes are answered before

Callers would see: no answer to a request in hand, as its connection is closed for what came behind it (bytes that are no message), or for a lost watchdog. Cause: Connection.close told its owner only once it was closed, when nothing can be said on it any more. Why it works: the owner is told before the close, at the one place where this side decides on it, and answers all that wait there; a server's connection has nothing to say, its requests end as reset.

--- a/src/main/java/grebewick/diameter/Connection.java
+++ b/src/main/java/grebewick/diameter/Connection.java
@@ -29,6 +29,9 @@
 
         void heard(Connection connection, DiameterMessage message);
 
+        /** This side is about to close it: the last moment in which something can be said on it. */
+        void closing(Connection connection);
+
         void closed(Connection connection);
     }
 
@@ -156,6 +159,7 @@
     void close(String why) {
         if (!ended) {
             log.accept("diameter: closed the connection to " + (peer.isEmpty() ? "a peer" : peer) + ": " + why);
+            owner.closing(this);
         }
         socket.close();
         // Guards against a peer that takes nothing any more: the close would wait for what was written before it.
@@ -182,6 +186,9 @@
 
     @Override
     public void fault(DiameterMessage head, DiameterException fault, boolean lost) {
+        if (lost) {
+            owner.closing(this);
+        }
         if (head.isRequest()) {
             send(head.answer(me, fault));
         }
--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -157,6 +157,15 @@
         log.accept("diameter: client " + c.peer() + " leaves");
     }
 
+    /** Requests that wait on it would be lost without an answer. */
+    @Override
+    public void closing(Connection c) {
+        Set<Session> open = waiting.get(c);
+        if (open != null) {
+            List.copyOf(open).forEach(s -> core.answer(s.call));
+        }
+    }
+
     @Override
     public void closed(Connection c) {
         connections.remove(c);
--- a/src/main/java/grebewick/diameter/ServerPeer.java
+++ b/src/main/java/grebewick/diameter/ServerPeer.java
@@ -150,6 +150,11 @@
         noteStateId(c);
     }
 
+    @Override
+    public void closing(Connection c) {
+        // Its requests end as reset with it.
+    }
+
     @Override
     public void closed(Connection c) {
         watchdog.down();
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -470,6 +470,19 @@
         s.play("c < DPR\n c > DPA\n c sees the end\n b > CER\n b < CEA 2001\n b < DPR\n b > DPA\n b sees the end");
     }
 
+    @Test
+    void badInputBehindARequestClosesItsConnectionOnceTheRequestIsAnswered() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            c > raw 02 00 00 14 80 00 01 09 00 00 00 01 00 00 00 05 00 00 00 05
+            c < AAA s 3002 E
+            c < AAA 5011
+            c sees the end
+            p1 > AAA s 2001
+            p1 < STR s""");
+    }
+
     /** A peer that reads nothing: what the network has not taken of a lost client's request goes with its connection. */
     @Test
     void aRequestThatIsStuckInAConnectionIsTakenBackWithIt() throws Exception {
