Diameter: a request that its client moves to another connection is answered there

Callers would see: a client that fails over to another connection, with its first one still open, waits there for ever: no answer to a request that was in hand. Cause: a repeat of a request in hand was dropped; its answer belonged to the first connection, and with that one's end the request was hung up. Nobody owed the repeat anything. Why it works: the request waits where its client last sent it (RFC 6733, section 5.5.4), under that hop-by-hop id; there is one session, one attempt and one answer as before. A repeat on the same connection is still dropped.

--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -194,6 +194,8 @@
             DiameterMessage given = repeats.get(key);
             if (given != null) {
                 on.send(given.with(given.flags(), m.hopByHop(), given.avps()));
+            } else {
+                move(sessions.get(m.text(Avp.SESSION_ID)), key, on, m);
             }
             return;
         }
@@ -205,6 +207,26 @@
         }
     }
 
+    /** A client that fails over to another connection (RFC 6733, section 5.5.4) waits for its answer there. */
+    private void move(Session s, String key, Connection to, DiameterMessage repeat) {
+        if (s != null && !s.answered && s.key.equals(key) && s.on != to) {
+            Connection from = s.on;
+            stopWaiting(s);
+            s.on = to;
+            s.request = repeat;
+            startWaiting(s);
+            askToLeave(from);
+        }
+    }
+
+    private void startWaiting(Session s) {
+        waiting.computeIfAbsent(s.on, c -> new LinkedHashSet<>()).add(s);
+    }
+
+    private void stopWaiting(Session s) {
+        waiting.computeIfPresent(s.on, (c, open) -> open.remove(s) && open.isEmpty() ? null : open);
+    }
+
     private void check(DiameterMessage m) {
         if (m.command() != AA && m.command() != SESSION_TERMINATION) {
             throw new DiameterException(DiameterException.COMMAND_UNSUPPORTED, "command " + m.command(), null);
@@ -241,7 +263,7 @@
             return;
         }
         sessions.put(s.id, s);
-        waiting.computeIfAbsent(on, c -> new LinkedHashSet<>()).add(s);
+        startWaiting(s);
         s.call = core.offer(new Offer<>(nextOffer++, config.band(), m.text(Avp.USER_NAME), config.requestUs(),
             m.mayBeRepeat(), false, 1, group(m.text(Avp.DESTINATION_HOST)), -1, m), s);
     }
@@ -285,8 +307,9 @@
     private final class Session implements Callers<DiameterMessage> {
         final String id;
         final String key;
-        final Connection on;
-        final DiameterMessage request;
+        /** Where its client waits for its answer, and the request as it came there. */
+        Connection on;
+        DiameterMessage request;
         long call;
         boolean answered;
         boolean aborted;
@@ -301,7 +324,7 @@
         /** The one place where an AAR gets its answer. */
         private void answer(DiameterMessage answer) {
             answered = true;
-            waiting.computeIfPresent(on, (c, open) -> open.remove(this) && open.isEmpty() ? null : open);
+            stopWaiting(this);
             repeats.put(key, answer);
             on.send(answer);
             askToLeave(on);
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -483,6 +483,27 @@
             p1 < STR s""");
     }
 
+    /** A second connection of the same client: it fails over to it, and the first one ends. */
+    @Test
+    void aRequestThatItsClientMovesToAnotherConnectionIsAnsweredThere() {
+        s.client("c2", new DiameterDialect("c", 1), port);
+        s.play("""
+            c > AAR s e2e=7
+            p1 < AAR s
+            c2 > CER
+            c2 < CEA 2001
+            c2 > AAR s e2e=7 flags=16
+            c2 has no more
+            c closes""").until(() -> logged("client c OKAY -> DOWN")).play("""
+            p1 > AAA s 2001
+            c2 < AAA s 2001
+            p1 has no more
+            p2 has no more
+            c2 > STR s
+            c2 < STA s 2001
+            p1 < STR s""");
+    }
+
     /** A peer that reads nothing: what the network has not taken of a lost client's request goes with its connection. */
     @Test
     void aRequestThatIsStuckInAConnectionIsTakenBackWithIt() throws Exception {
