Diameter: requests at a server that has lost its sessions end as reset with the news

Callers would see: a slow answer. A request at a server that tells a larger Origin-State-Id waited for its time to run out, though nobody could answer it any more: the session had been forgotten, its attempt had not. Cause: what was open was forgotten in one step, of which the core was told for standing sessions alone. Evidence: DiameterNodeTest.aRequestAtAServerThatHasLostItsSessionsGoesToAnotherAtOnce, on the commit before: the other server heard nothing after the release time. Why it works: each forgotten session ends its attempt; the release time of 0.5 s holds, as for any reset.

--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -221,9 +221,11 @@
 
     @Override
     public void restarted(ServerPeer peer) {
-        sessions.removeAllAt(peer);
+        List<ServerSession> lost = sessions.removeAllAt(peer);
         teardowns.forgetAllAt(peer);
         tell(Scope.COMPLETE, Map.of(peer.host(), peer.startedAtUs()));
+        // Those that were asked for; the open ones are over with the news.
+        lost.forEach(session -> core.ended(session.call, session.copy, State.RESET_BY_PEER, 0, List.of()));
     }
 
     @Override
--- a/src/main/java/grebewick/diameter/ServerSessions.java
+++ b/src/main/java/grebewick/diameter/ServerSessions.java
@@ -1,5 +1,6 @@
 package grebewick.diameter;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,8 +42,11 @@
         return byCall.values().stream().filter(session -> session.at == server).map(session -> session.call).sorted().toList();
     }
 
-    /** Forgets all that are at one server and under their Session-Id. */
-    void removeAllAt(ServerPeer server) {
-        byCall.values().removeIf(session -> session.at == server && byId.remove(session.id, session));
+    /** Forgets all that are at one server and under their Session-Id; gives these. */
+    List<ServerSession> removeAllAt(ServerPeer server) {
+        List<ServerSession> lost = byCall.values().stream().filter(session -> session.at == server)
+            .sorted(Comparator.comparingLong(session -> session.call)).toList();
+        lost.forEach(this::remove);
+        return lost;
     }
 }
--- a/src/test/java/grebewick/diameter/DiameterDialect.java
+++ b/src/test/java/grebewick/diameter/DiameterDialect.java
@@ -65,6 +65,9 @@
             avps.add(Avp.text(Avp.DESTINATION_HOST, o.getOrDefault("to", "p1")));
             avps.add(Avp.unsigned(command == AA ? Avp.AUTH_REQUEST_TYPE : Avp.TERMINATION_CAUSE, 1));
         }
+        if (o.containsKey("state")) {
+            avps.add(Avp.unsigned(Avp.ORIGIN_STATE_ID, Long.parseLong(o.get("state"))));
+        }
         if (o.containsKey("without")) {
             avps.removeIf(a -> a.code() == Integer.parseInt(o.get("without")));
         }
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -504,6 +504,24 @@
             p1 < STR s""");
     }
 
+    @Test
+    void aRequestAtAServerThatHasLostItsSessionsGoesToAnotherAtOnce() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > DWR state=2
+            p1 < DWA 2001
+            p1 > DWR state=2
+            p1 < DWA 2001
+            wait 501
+            p2 < AAR s T
+            p2 > AAA s 2001
+            c < AAA s 2001
+            c > STR s
+            c < STA s 2001
+            p2 < STR s""");
+    }
+
     /** A peer that reads nothing: what the network has not taken of a lost client's request goes with its connection. */
     @Test
     void aRequestThatIsStuckInAConnectionIsTakenBackWithIt() throws Exception {
