Diameter: sessions at a server that is silent on an open connection end with their lease

Callers would see: nothing for up to three watchdog intervals, 18 to 90 s, where 8 s are allowed. Cause: a session's lease was looked at once its server's connection had ended; while it was open and silent the watchdog alone decided, and RFC 3539 asks each 6 s at the most often. Evidence: DiameterNodeTest.aClientIsToldOfItsSessionAtAServerThatFallsSilentOnAnOpenConnection, on the commit before: no DWR came after 5.5 s and no ASR after 7.7 s.

--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -32,6 +33,7 @@
     private final Map<String, ServerPeer> peers = new TreeMap<>();
     private final ServerSessions sessions = new ServerSessions();
     private final SessionTeardowns teardowns;
+    private final SilenceMonitor<ServerPeer> silence = new SilenceMonitor<>(LeaseTimes.DEFAULT);
     private final Identity me;
     private Gatekeeper<DiameterMessage> core;
 
@@ -54,6 +56,21 @@
         tell(Scope.PERSISTED, Map.of());
         peers.values().forEach(ServerPeer::connect);
         teardowns.start();
+        timers.after(SilenceMonitor.LOOK_US, this::look);
+    }
+
+    private void look() {
+        timers.after(SilenceMonitor.LOOK_US, this::look);
+        Set<ServerPeer> servers = sessions.serversWithOpenSessions();
+        silence.retainAll(servers);
+        silence.look(clock.nowUs());
+        for (ServerPeer peer : servers) {
+            switch (silence.of(peer, peer.heardUs())) {
+                case ASK -> peer.ask();
+                case EXPIRE -> core.interrupted(sessions.callsAt(peer), Interruption.SERVER_SILENT);
+                case NOTHING -> {}
+            }
+        }
     }
 
     /** Sessions whose ends their servers are still to be told. */
@@ -103,6 +120,7 @@
         boolean waiting = sessions.holds(session);
         if (result / 1000 == 2) {
             // Guards against sessions that are open for nobody: the answer came after the attempt was given up.
+            session.stands = true;
             if (!waiting || !core.stood(session.call, session.copy, answer, List.of())) {
                 sessions.remove(session);
                 teardowns.terminate(session, Cause.ADMINISTRATIVE);
--- a/src/main/java/grebewick/diameter/ServerPeer.java
+++ b/src/main/java/grebewick/diameter/ServerPeer.java
@@ -75,6 +75,13 @@
         return startedAtUs;
     }
 
+    /** It is to show that it lives, whatever its watchdog is doing. */
+    void ask() {
+        if (isOpen()) {
+            connection.sendWatchdog();
+        }
+    }
+
     /** us. When it last said anything. */
     long heardUs() {
         return heardUs;
--- a/src/main/java/grebewick/diameter/ServerSession.java
+++ b/src/main/java/grebewick/diameter/ServerSession.java
@@ -12,6 +12,8 @@
     Connection on;
     /** The network has its request. */
     boolean sent;
+    /** It is open: its server has said so. */
+    boolean stands;
 
     ServerSession(long call, int copy, ServerPeer at, String id) {
         this.call = call;
--- a/src/main/java/grebewick/diameter/ServerSessions.java
+++ b/src/main/java/grebewick/diameter/ServerSessions.java
@@ -2,8 +2,10 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The sessions at all servers, by the core's number of the call and by Session-Id. */
 final class ServerSessions {
@@ -37,6 +39,13 @@
         return byCall.remove(session.call, session);
     }
 
+    /** Servers at which sessions are open. */
+    Set<ServerPeer> serversWithOpenSessions() {
+        Set<ServerPeer> servers = new LinkedHashSet<>();
+        byCall.values().stream().filter(session -> session.stands).forEach(session -> servers.add(session.at));
+        return servers;
+    }
+
     /** The core's numbers of the calls whose sessions are at one server. */
     List<Long> callsAt(ServerPeer server) {
         return byCall.values().stream().filter(session -> session.at == server).map(session -> session.call).sorted().toList();
