An answer that cannot be written stops no other call's clock

Callers would see: no answer at their end, until anything else happens at the gatekeeper, because another caller's answer failed. Cause: the core set its timer anew as the last step of a run; a port that throws in the middle left the loop without a timer. The Vert.x-Web port throws so where the route has begun its answer as the time runs out (the head is written). Evidence: GatekeeperTest.aCallerThatCannotBeAnsweredKeepsNoOtherWaiting, on the commit before: the second caller heard nothing. Why it works: the timer is set whatever became of the run; and an answer that has begun is left to its route. By the handler itself the fault could not be brought about: the module's guard catches it there.

--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -384,8 +384,8 @@
             }
         } finally {
             running = false;
+            pendingTimers.arm(nowUs);
         }
-        pendingTimers.arm(nowUs);
     }
 
     private void due(PendingTimers.Timer timer) {
--- a/src/main/java/grebewick/web/AdmissionHandler.java
+++ b/src/main/java/grebewick/web/AdmissionHandler.java
@@ -143,7 +143,8 @@
         }
 
         private void turnAway(long seconds) {
-            if (!context.response().ended() && !context.response().closed()) {
+            // An answer that has begun is the route's to finish.
+            if (!context.response().headWritten() && !context.response().ended() && !context.response().closed()) {
                 context.request().resume();
                 context.response().setStatusCode(503).putHeader("Retry-After", Long.toString(seconds)).end();
             }
--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -1,6 +1,7 @@
 package grebewick.core;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import grebewick.core.CallControl.*;
 import grebewick.play.HandClock;
@@ -131,6 +132,31 @@
             result -> assertThat(result.state()).isEqualTo(State.RESET_BY_PEER));
     }
 
+    @Test
+    void aCallerThatCannotBeAnsweredKeepsNoOtherWaiting() {
+        core.fleet(new Fleet(Scope.PERSISTED, 1, List.of()), Map.of());
+        Callers<String> broken = new Callers<>() {
+            @Override
+            public void stands(long call, String description) {}
+
+            @Override
+            public void refused(long call, long comeBackUs) {}
+
+            @Override
+            public void failed(long call) {
+                throw new IllegalStateException("cannot be written");
+            }
+
+            @Override
+            public void released(long call, Ending ending) {}
+        };
+        core.offer(new Offer<>(1, "a", "55", 1_000_000, false, false, 1, 0, -1, "offer"), broken);
+        core.offer(new Offer<>(2, "a", "55", 2_000_000, false, false, 1, 0, -1, "offer"), this);
+        assertThatThrownBy(() -> clock.pass(1_500_000)).hasMessage("cannot be written");
+        clock.pass(2_000_000);
+        assertThat(happened).containsExactly("failed");
+    }
+
     /** Guards calls that may not be repeated: a refusal says that trying again is harmless. */
     @Test
     void whoIsAnsweredAtTheEndIsRefusedOnlyIfNothingCanHaveRun() {
