A caller's connection gives way to another once its input is read

Callers would see: a request that a late loop has not read yet gets no answer, as its connection is closed for the descriptor of another. Cause: at the limit the eldest connection was closed as the new one was accepted. Why it works: who goes is decided after the round of reads; a connection with a set-up open is none of them. Where nobody can go, none is closed, and the acceptor's bound holds.

--- a/src/main/java/grebewick/sip/CallerLines.java
+++ b/src/main/java/grebewick/sip/CallerLines.java
@@ -31,23 +31,30 @@
         this.eventLog = eventLog;
     }
 
-    /** Takes a connection in; at the limit another has to go: strangers first, never one with an open set-up. */
-    void add(CallerLine line) {
-        if (all.size() >= most) {
-            long nowUs = line.sinceUs;
-            CallerLine victim = eldest(l -> !l.asked && l.open.isEmpty());
-            // Not one that may just be asking again: what it has sent may not be read yet.
-            victim = victim != null ? victim : eldest(l -> !l.proven && l.rests(nowUs));
-            victim = victim != null ? victim : eldest(l -> l.rests(nowUs));
-            victim = victim != null ? victim : eldest(l -> l.open.isEmpty() && nowUs - l.heardUs >= IDLE_US);
-            if (victim == null) {
-                line.close();
-                return;
-            }
+    /** Takes a connection in; true: there are more than the limit, and others are to go ({@link #evict}). */
+    boolean add(CallerLine line) {
+        all.add(line);
+        return all.size() > most;
+    }
+
+    /**
+     * Closes connections beyond the limit: strangers first, never one with an open set-up. To be called once all input is
+     * read, as what a connection has sent may be a set-up.
+     */
+    void evict(long nowUs) {
+        CallerLine victim = all.size() > most ? victim(nowUs) : null;
+        while (victim != null) {
             remove(victim);
             victim.close();
+            victim = all.size() > most ? victim(nowUs) : null;
         }
-        all.add(line);
+    }
+
+    private CallerLine victim(long nowUs) {
+        CallerLine victim = eldest(l -> !l.asked && l.open.isEmpty());
+        victim = victim != null ? victim : eldest(l -> !l.proven && l.rests(nowUs));
+        victim = victim != null ? victim : eldest(l -> l.rests(nowUs));
+        return victim != null ? victim : eldest(l -> l.open.isEmpty() && nowUs - l.heardUs >= IDLE_US);
     }
 
     private CallerLine eldest(Predicate<CallerLine> which) {
--- a/src/main/java/grebewick/sip/CallerListener.java
+++ b/src/main/java/grebewick/sip/CallerListener.java
@@ -72,7 +72,9 @@
             line.close();
         });
         socket.closeHandler(v -> closed(line));
-        lines.add(line);
+        if (lines.add(line)) {
+            timers.afterInput(() -> lines.evict(clock.nowUs()));
+        }
     }
 
     private void read(CallerLine line, Buffer bytes) {
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -384,6 +384,34 @@
             d sees the end""");
     }
 
+    /** Guards a request that a loop which came late has not read when another caller takes the last descriptor. */
+    @Test
+    void aRestingConnectionGivesWayOnlyOnceItsInputIsRead() {
+        s.play("d > OPTIONS 77\n d < 200 OPTIONS 77\n wait 600");
+        for (int i = 0; i < 6; i++) {
+            s.client("x" + i, new SipDialect(), port);
+        }
+        s.play("""
+            x0 connects
+            x1 connects
+            x2 connects
+            x3 connects
+            x4 connects
+            x4 has no more
+            loop is late
+            x5 has no more
+            d > INVITE 01
+            d has no more
+            loop is caught-up
+            x0 sees the end
+            s1 < set-up 01*
+            s1 > answer 01 desc
+            d < 200 INVITE 01 desc
+            d > BYE 01
+            d < 200 BYE 01
+            s1 < release 01 16""");
+    }
+
     /** Guards the descriptors: 6 of 12 are the callers', and strangers go before a caller that has asked. */
     @Test
     void whoSaysNothingLosesTheConnectionFirst() {
