A connection that sent nothing of use is closed once all behind that is read

Callers would see: a set-up that came right behind useless requests, or that a late loop had not read, gets no answer. Cause: the close came with the eighth useless request, in the middle of what was being read. Evidence: CrossingsTest.uselessRequestsCloseTheirConnectionOnceAllBehindThemIsRead, on the commit before: the caller saw the end. Why it works: whether it goes is looked at after the round of reads, as for idle connections; one with a set-up open or a call standing stays, and a call that stands clears the count as before. Result: CrossingsTest, NodeTest and LeftCallersTest pass, 61 tests.

--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -38,6 +38,8 @@
     boolean proven;
     /** Set-ups in a row that were of no use to anybody. */
     int useless;
+    /** It is to be looked at once all input is read, whether it goes for these. */
+    boolean closesAfterInput;
     boolean closed;
     private final Timers timers;
     private final Consumer<CallerLine> ended;
--- a/src/main/java/grebewick/sip/CallerRequests.java
+++ b/src/main/java/grebewick/sip/CallerRequests.java
@@ -5,6 +5,7 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.LimitedLog;
 import grebewick.core.Offer;
+import grebewick.core.Timers;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
     private final Gatekeeper<byte[]> core;
     private final CallerTeardowns teardowns;
     private final Clock clock;
+    private final Timers timers;
     private final LimitedLog complaints;
     private final OfferReader offers;
     private final Map<Long, CallerSession> sessions = new HashMap<>();
@@ -28,10 +30,12 @@
     private boolean testsPass = true;
     private boolean takesCalls = true;
 
-    CallerRequests(Settings set, Gatekeeper<byte[]> core, CallerTeardowns teardowns, Clock clock, LimitedLog complaints) {
+    CallerRequests(Settings set, Gatekeeper<byte[]> core, CallerTeardowns teardowns, Clock clock, Timers timers,
+                   LimitedLog complaints) {
         this.core = core;
         this.teardowns = teardowns;
         this.clock = clock;
+        this.timers = timers;
         this.complaints = complaints;
         offers = new OfferReader(set);
     }
@@ -104,7 +108,16 @@
 
     /** Who sends nothing of use is closed: at full speed that takes the core, and the servers' time. */
     private void useless(CallerLine on) {
-        if (++on.useless >= MOST_USELESS && on.open.isEmpty() && on.standing == 0) {
+        if (++on.useless >= MOST_USELESS && !on.closesAfterInput) {
+            on.closesAfterInput = true;
+            // What has come behind it may be a set-up.
+            timers.afterInput(() -> closeUseless(on));
+        }
+    }
+
+    private void closeUseless(CallerLine on) {
+        on.closesAfterInput = false;
+        if (on.useless >= MOST_USELESS && on.open.isEmpty() && on.standing == 0 && !on.closed) {
             complaints.complain("closed a connection that sent nothing of use");
             on.close();
         }
--- a/src/main/java/grebewick/sip/SipFront.java
+++ b/src/main/java/grebewick/sip/SipFront.java
@@ -33,7 +33,7 @@
         LimitedLog complaints = new LimitedLog(log, "sip: ", MOST_COMPLAINTS);
         lines = new CallerLines(mostLines(sockets), new EventLog(log, clock));
         teardowns = new CallerTeardowns(lines, clock, timers);
-        requests = new CallerRequests(set, core, teardowns, clock, complaints);
+        requests = new CallerRequests(set, core, teardowns, clock, timers, complaints);
         listener = new CallerListener(vertx, lines, requests, clock, timers, complaints);
     }
 
--- a/src/test/java/grebewick/CrossingsTest.java
+++ b/src/test/java/grebewick/CrossingsTest.java
@@ -127,6 +127,17 @@
         s.play("c > INVITE 02 tier=b\n c < 400 INVITE 02\n c sees the end");
     }
 
+    /** Guards a set-up that has come with them, or that a late loop has not read yet. */
+    @Test
+    void uselessRequestsCloseTheirConnectionOnceAllBehindThemIsRead() {
+        SipDialect sip = new SipDialect();
+        String useless = sip.encode("INVITE 02 tier=b").toString().repeat(8);
+        String setUp = sip.encode("INVITE 01").toString();
+        s.play("loop is late\n d > raw " + (useless + setUp).replace("\r\n", "|") + "\n" + "d < 400 INVITE 02\n".repeat(8));
+        s.play("d has no more\n loop is caught-up\n s1 < set-up 01*\n s1 > answer 01 desc\n d < 200 INVITE 01 desc");
+        s.play("d > BYE 01\n d < 200 BYE 01");
+    }
+
     /** Guards the descriptors: a caller that reads nothing holds no connection for as long as it likes. */
     @Test
     void whoReadsNothingIsEndedThoughItsAnswersNeverLeave() throws IOException {
