A process that is told to end reads all that has come before it goes

Callers would see: a request that came just before the end of a process that had nothing left to do gets no answer, as a late loop had not read it. Cause: the last of two quiet looks ended the process within the timer; what had come since the loop's last read was not looked at. Why it works: the end is decided once more after a round of reads; what has come keeps the process for two looks more. Its time is up at the same moment as before, whatever comes.

--- a/src/main/java/grebewick/lifecycle/GracefulShutdown.java
+++ b/src/main/java/grebewick/lifecycle/GracefulShutdown.java
@@ -17,6 +17,7 @@
     static final long LAST_WORDS_US = 200_000;
     /** Looks in a row that must find nothing owed and nothing new. */
     private static final int QUIET = 2;
+    private static final String NOTHING_OWED = "ends: nothing is owed";
 
     private final Clock clock;
     private final Timers timers;
@@ -61,18 +62,34 @@
             lastWordsSaid = true;
             lastWords.run();
         }
-        ActivityCount now = activity.get();
-        PendingWork owed = pendingWork.get();
-        quiet = owed.none() && now.equals(before) ? quiet + 1 : 0;
-        before = now;
+        PendingWork owed = note();
+        if (leftUs <= 0) {
+            log.accept(quiet >= QUIET ? NOTHING_OWED : "ends: its time is up; left behind: " + owed);
+            go.run();
+        } else if (quiet >= QUIET) {
+            // A late loop may not have read what has come: its caller would be left without an answer.
+            timers.afterInput(this::endIfStillQuiet);
+        } else {
+            timers.after(LOOK_US, this::look);
+        }
+    }
+
+    private void endIfStillQuiet() {
+        note();
         if (quiet >= QUIET) {
-            log.accept("ends: nothing is owed");
-        } else if (leftUs <= 0) {
-            log.accept("ends: its time is up; left behind: " + owed);
+            log.accept(NOTHING_OWED);
+            go.run();
         } else {
             timers.after(LOOK_US, this::look);
-            return;
         }
-        go.run();
+    }
+
+    /** Counts the looks in a row that find nothing owed and nothing new; gives what is owed now. */
+    private PendingWork note() {
+        ActivityCount now = activity.get();
+        PendingWork owed = pendingWork.get();
+        quiet = owed.none() && now.equals(before) ? quiet + 1 : 0;
+        before = now;
+        return owed;
     }
 }
--- a/src/test/java/grebewick/lifecycle/GracefulShutdownTest.java
+++ b/src/test/java/grebewick/lifecycle/GracefulShutdownTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import grebewick.core.Timers;
 import grebewick.eventloop.ActivityCount;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,4 +55,37 @@
         task.run();
         assertThat(log).containsExactly("ends: nothing is owed", "gone");
     }
+
+    /** A late loop has not read what came before its last look. */
+    @Test
+    void aRequestThatIsNotReadYetKeepsAProcessThatIsToldToEnd() {
+        Runnable[] afterInput = {() -> {}};
+        Timers timers = new Timers() {
+            @Override
+            public Runnable after(long us, Runnable run) {
+                task = () -> {
+                    nowUs += us;
+                    run.run();
+                };
+                return () -> {};
+            }
+
+            @Override
+            public void afterInput(Runnable run) {
+                afterInput[0] = run;
+            }
+        };
+        new GracefulShutdown(() -> nowUs, timers, 3_000_000, () -> PendingWork.NONE, () -> new ActivityCount(callers, 0, 0),
+            log::add, () -> log.add("answers"), () -> log.add("gone")).start();
+        task.run();
+        task.run();
+        assertThat(log).as("not before all input is read").isEmpty();
+        callers++;
+        afterInput[0].run();
+        assertThat(log).as("another has come").isEmpty();
+        task.run();
+        task.run();
+        afterInput[0].run();
+        assertThat(log).containsExactly("ends: nothing is owed", "gone");
+    }
 }
