Fault soak: changing lists, drains, restarts in series, reloads, crowds; five rules

Cause: the soak drew no change of the list, and excused every request near a restart; the report's fault lay outside it. Change: plans draw servers that leave the list with answers on their way (and vanish, or are back), drain and end, or start anew under their id; several configurations at once that move the name service; gatekeepers that end one after another under a series of signals, killed at the earliest moment of the terms while callers go on; crowds; callers that cancel, and that write in pieces; deadlines of 1 to 3 s. New rules: a release told late, a set-up at a server that is gone, set-ups for callers that left; a request that comes while its gatekeeper ends is held against it up to 50 ms before that end. Each rule has a good and a bad record. A stand-in server sends a release whose connection is closed on all others, and repeats it for 10 s on new ones: whose they are is not known.

--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,8 @@
 bench-ready: build ## how soon 30 gatekeepers that start at once serve, five times; some 2 min, on an idle machine
 	java -cp $(LAB) grebewick.lab.ReadinessBench -- $(RUN)
 
-soak: build       ## 50 drawn plans of combined faults against real gatekeepers, three at a time; some 10 min
-	java -cp $(LAB) grebewick.lab.faults.FaultSoak --seeds=1-50 -- $(RUN)
+soak: build       ## 60 drawn plans of combined faults against real gatekeepers, six at a time; some 6 min
+	java -cp $(LAB) grebewick.lab.faults.FaultSoak --seeds=1-60 --parallel=6 -- $(RUN)
 
 trial-vanish: build ## faults of servers with calls standing on them, three seeds each; some 4 min
 	java -cp $(LAB) grebewick.lab.faults.VanishingTrials -- $(RUN)
--- a/src/main/java/grebewick/lab/GatekeeperProcess.java
+++ b/src/main/java/grebewick/lab/GatekeeperProcess.java
@@ -115,6 +115,17 @@
         return servedPort;
     }
 
+    /** Writes its file anew and has it read again (SIGHUP). */
+    public void reload(GatekeeperConfig config) throws IOException {
+        Files.writeString(file, config.json());
+        signal("HUP");
+    }
+
+    /** Sends a signal by its name, such as {@code HUP}, without waiting for its effect. */
+    public void signal(String name) throws IOException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).redirectErrorStream(true).start();
+    }
+
     /** Tells it to end, without waiting. */
     public void terminate() {
         process.destroy();
@@ -130,6 +141,11 @@
         return process.waitFor(seconds, TimeUnit.SECONDS);
     }
 
+    /** Waits for its end until a {@code System.nanoTime()}; false: it still runs. */
+    public boolean awaitExitUntil(long endNs) throws InterruptedException {
+        return process.waitFor(Math.max(0, endNs - System.nanoTime()), TimeUnit.NANOSECONDS);
+    }
+
     /** Ends it at once, as SIGKILL does. */
     public void kill() {
         process.destroyForcibly();
--- a/src/main/java/grebewick/lab/StandInCallers.java
+++ b/src/main/java/grebewick/lab/StandInCallers.java
@@ -30,6 +30,8 @@
     private final Map<String, Integer> counts = new java.util.TreeMap<>();
     private final List<Long> answerUs = new ArrayList<>();
     private final Map<Long, Long> overUs = new HashMap<>();
+    /** Connections on which a message is half written, and what is to follow it. */
+    private final Map<NetSocket, List<Buffer>> pausing = new HashMap<>();
     private LongConsumer answered = id -> {};
     private Observer observer = new Observer() {};
     private NetClient client;
@@ -46,6 +48,9 @@
         /** Its caller stops waiting without an answer. */
         default void gaveUp(long id) {}
 
+        /** Its caller leaves before its answer and its deadline. */
+        default void left(long id) {}
+
         /** A BYE has come. */
         default void over(long id) {}
     }
@@ -88,7 +93,10 @@
 
     /** All connections are closed in order, and no answer is waited for; {@link #connect} opens others. */
     public void leave() {
-        asked.keySet().forEach(id -> count("left"));
+        asked.keySet().forEach(id -> {
+            count("left");
+            observer.left(id);
+        });
         asked.clear();
         List.copyOf(sockets).forEach(NetSocket::close);
         sockets.clear();
@@ -104,30 +112,84 @@
         this.answered = answered;
     }
 
+    /** How a caller behaves: ms until it gives its set-up up, 0 for never, and of a pause in its writing, 0 for none. */
+    public record Manner(long cancelMs, long pauseMs) {
+        /** Waits for its answer, and writes at once. */
+        public static final Manner USUAL = new Manner(0, 0);
+    }
+
     /** One call to a server group, now; it was meant for {@code meantUs}. Gives its id; 0: there is no connection. */
     public long call(int group, long meantUs) {
-        if (sockets.isEmpty()) {
+        return call(group, meantUs, Manner.USUAL);
+    }
+
+    /** The same by a caller of that manner. */
+    public long call(int group, long meantUs, Manner manner) {
+        List<NetSocket> free = sockets.stream().filter(socket -> !pausing.containsKey(socket)).toList();
+        if (free.isEmpty()) {
             count("no connection");
             return 0;
         }
         long id = next++;
-        NetSocket on = sockets.get((int) (id % sockets.size()));
-        asked.put(id, meantUs);
-        observer.asked(id);
-        SipMessage bare = SipMessage.request("INVITE", "sip:" + hex(id * 7919) + "@net", new Header("Via", "SIP/2.0/TCP peer"),
+        NetSocket on = free.get((int) (id % free.size()));
+        Buffer invite = SipCodec.encode(invite(id, group));
+        if (manner.pauseMs == 0) {
+            ask(id, on, invite, meantUs, manner);
+            return id;
+        }
+        int half = invite.length() / 2;
+        on.write(invite.getBuffer(0, half));
+        pausing.put(on, new ArrayList<>());
+        vertx.setTimer(manner.pauseMs, t -> {
+            List<Buffer> held = pausing.remove(on);
+            if (sockets.contains(on)) {
+                ask(id, on, invite.getBuffer(half, invite.length()), meantUs + manner.pauseMs * 1000, manner);
+                held.forEach(on::write);
+            }
+        });
+        return id;
+    }
+
+    private SipMessage invite(long id, int group) {
+        SipMessage bare = SipMessage.request("INVITE", uri(id), new Header("Via", "SIP/2.0/TCP peer"),
             new Header("Call-ID", hex(id)), new Header("CSeq", "1 INVITE"), new Header("X-Tier", tier),
             new Header("X-Deadline", Long.toString(deadlineMs)), new Header("X-Attrs", "dest:" + group + ";width:1;via:-1"));
         byte[] body = (hex(id) + "\r\nc=IN IP4 127.0.0.1\r\n").getBytes(StandardCharsets.US_ASCII);
-        on.write(SipCodec.encode(new SipMessage(bare.method(), bare.uri(), 0, "", bare.headers(), body)));
+        return new SipMessage(bare.method(), bare.uri(), 0, "", bare.headers(), body);
+    }
+
+    /** The last bytes of an INVITE leave: its time counts from here. */
+    private void ask(long id, NetSocket on, Buffer last, long meantUs, Manner manner) {
+        asked.put(id, meantUs);
+        observer.asked(id);
+        on.write(last);
+        if (manner.cancelMs > 0) {
+            vertx.setTimer(manner.cancelMs, t -> cancel(id, on));
+        }
         vertx.setTimer(deadlineMs, t -> {
             if (asked.remove(id) != null) {
                 count("gave up");
                 observer.gaveUp(id);
-                write(on,
-                    SipMessage.request("CANCEL", bare.uri(), new Header("Call-ID", hex(id)), new Header("CSeq", "1 CANCEL")));
+                writeCancel(id, on);
             }
         });
-        return id;
+    }
+
+    private void writeCancel(long id, NetSocket on) {
+        write(on, SipMessage.request("CANCEL", uri(id), new Header("Call-ID", hex(id)), new Header("CSeq", "1 CANCEL")));
+    }
+
+    private static String uri(long id) {
+        return "sip:" + hex(id * 7919) + "@net";
+    }
+
+    /** The caller of a call gives its set-up up before its deadline, if it still waits. */
+    private void cancel(long id, NetSocket on) {
+        if (asked.remove(id) != null) {
+            count("cancelled");
+            observer.left(id);
+            writeCancel(id, on);
+        }
     }
 
     /** A caller ends a call of its own that stands; false: none does. */
@@ -172,9 +234,14 @@
         }
     }
 
-    private static void write(NetSocket on, SipMessage m) {
+    /** What comes while a message is half written follows it. */
+    private void write(NetSocket on, SipMessage m) {
         Buffer bytes = SipCodec.encode(m);
-        on.write(bytes);
+        if (pausing.containsKey(on)) {
+            pausing.get(on).add(bytes);
+        } else {
+            on.write(bytes);
+        }
     }
 
     private static String hex(long id) {
--- a/src/main/java/grebewick/lab/StandInServer.java
+++ b/src/main/java/grebewick/lab/StandInServer.java
@@ -11,22 +11,26 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 
 /**
  * A recipe server by the platform's protocol: each set-up is answered after a while, stands, and is released. What it
- * has released goes out on the connection of the set-up, else on any, and again on the next connection to be opened.
+ * has released goes out on the connection of the set-up, else on all, and again on those that are opened next.
  * All on the event loop that it was made on.
  */
 public final class StandInServer {
     private static final int MOST_SAID = 10_000;
+    /** ms for which a release is repeated on connections that are opened: which gatekeeper opens one is not known. */
+    private static final long REPEATED_MS = 10_000;
     private final Vertx vertx;
     private final long answerMs;
     private final long holdMs;
@@ -35,7 +39,7 @@
     private final Set<NetSocket> open = new LinkedHashSet<>();
     private final Map<Long, NetSocket> standing = new LinkedHashMap<>();
     private final Set<Long> answered = new HashSet<>();
-    private final List<TrunkMessage> said = new ArrayList<>();
+    private final Deque<Said> said = new ArrayDeque<>();
     private NetServer server;
     private long setUps;
     private volatile Traffic traffic = Traffic.NONE;
@@ -131,8 +135,9 @@
             standing.entrySet().removeIf(each -> each.getValue() == socket && !answered.contains(each.getKey()));
         });
         write(socket, new TrunkMessage(GROUP_STATE, 0, "", "", -1, "", report(), -1, new byte[0]));
-        said.forEach(m -> write(socket, m));
-        said.clear();
+        long oldestNs = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(REPEATED_MS);
+        said.removeIf(each -> each.atNs < oldestNs);
+        said.forEach(each -> write(socket, each.release));
     }
 
     private String report() {
@@ -186,15 +191,18 @@
             ended.accept(call);
         }
         TrunkMessage m = new TrunkMessage(RELEASE, call, "", "", -1, "", report(), cause, new byte[0]);
-        NetSocket to = open.contains(at) ? at : open.isEmpty() ? null : open.iterator().next();
-        if (to != null) {
+        // Where the set-up's connection is closed, any other may be its gatekeeper's.
+        for (NetSocket to : open.contains(at) ? List.of(at) : List.copyOf(open)) {
             write(to, m);
         }
         if (said.size() < MOST_SAID) {
-            said.add(m);
+            said.add(new Said(m, System.nanoTime()));
         }
     }
 
+    /** A release, and when it was first written. */
+    private record Said(TrunkMessage release, long atNs) {}
+
     private void write(NetSocket to, TrunkMessage m) {
         Buffer bytes = TrunkCodec.encode(m);
         traffic = traffic.sent(bytes.length());
--- a/src/main/java/grebewick/lab/faults/FaultProxy.java
+++ b/src/main/java/grebewick/lab/faults/FaultProxy.java
@@ -131,6 +131,13 @@
         reset();
     }
 
+    /** After {@link #die}: another process listens there. */
+    void restart(int newTarget) throws IOException {
+        target = newTarget;
+        listener = LoopbackListener.open(port, BACKLOG);
+        accept(listener);
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
--- a/src/main/java/grebewick/lab/faults/FaultSoak.java
+++ b/src/main/java/grebewick/lab/faults/FaultSoak.java
@@ -43,7 +43,7 @@
     public Integer call() throws Exception {
         SeedRange range = play.seeds();
         ResultTable table = new ResultTable("FaultSoak", play.asGiven(), "seed",
-            "gatekeepers", "faults", "calls", "ended", "result");
+            "gatekeepers", "deadline ms", "faults", "calls", "ended", "result");
         ExecutorService pool = Executors.newFixedThreadPool(play.parallel());
         List<Future<Outcome>> outcomes = new ArrayList<>();
         for (long seed = range.first(); seed <= range.last(); seed++) {
@@ -59,7 +59,7 @@
             } catch (ExecutionException e) {
                 // One that could not be played says nothing of the gatekeeper, and must not hide the others.
                 allKept = false;
-                table.add(range.first() + i, "-", "-", "-", "-", "not played: " + e.getCause());
+                table.add(range.first() + i, "-", "-", "-", "-", "-", "not played: " + e.getCause());
                 System.out.println("NOT PLAYED seed " + (range.first() + i) + ": " + e.getCause());
             }
         }
@@ -86,7 +86,8 @@
             .map(event -> event.kind() + "(" + event.target() + ")@" + event.atMs() + "+" + event.forMs()).toList());
         String result = outcome.findings.isEmpty() ? "kept" : "BROKEN: " + outcome.findings.get(0).rule() + " "
             + outcome.findings.size();
-        table.add(outcome.plan.seed(), outcome.plan.gatekeepers(), faults, outcome.calls, outcome.ended, result);
+        table.add(outcome.plan.seed(), outcome.plan.gatekeepers(), outcome.plan.deadlineMs(), faults, outcome.calls,
+            outcome.ended, result);
         System.out.printf(Locale.ROOT, "seed %d: %s; %d calls, %d ended; %s%n", outcome.plan.seed(), result, outcome.calls,
             outcome.ended, faults);
         outcome.findings.stream().limit(MOST_SHOWN).forEach(each -> System.out.println("    " + each.rule() + " " + each.text()));
--- a/src/test/java/grebewick/lab/faults/RuleCheckTest.java
+++ b/src/test/java/grebewick/lab/faults/RuleCheckTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import grebewick.lab.faults.RuleCheck.Absence;
 import grebewick.lab.faults.RuleCheck.Finding;
 import grebewick.lab.faults.RuleCheck.Outage;
 import grebewick.lab.faults.RuleCheck.Rule;
@@ -9,6 +10,7 @@
 import java.io.StringWriter;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import picocli.CommandLine;
 
@@ -28,7 +30,15 @@
         call.overUs = OVER_US;
         call.toldUs = OVER_US + 1_000;
         change.accept(call);
-        return new RuleCheck(List.of(outages), END_US).check(List.of(call)).stream().map(Finding::rule).toList();
+        return rules(List.of(outages), List.of(), List.of(call));
+    }
+
+    private static List<Rule> rules(List<Outage> outages, List<Absence> absences, List<CallRecord> calls) {
+        return new RuleCheck(outages, absences, END_US).check(calls).stream().map(Finding::rule).toList();
+    }
+
+    private static Outage outage(int gatekeeper, long fromUs, long toUs) {
+        return new Outage(gatekeeper, fromUs, fromUs, toUs);
     }
 
     private static void isUnanswered(CallRecord call) {
@@ -55,8 +65,14 @@
 
     @Test
     void aRequestThatItsGatekeeperCouldNotAnswerIsExcused() {
-        assertThat(broken(RuleCheckTest::isUnanswered, new Outage(0, ASKED_US + 1, ASKED_US + 9))).isEmpty();
-        assertThat(broken(RuleCheckTest::isUnanswered, new Outage(1, ASKED_US + 1, ASKED_US + 9)))
+        assertThat(broken(RuleCheckTest::isUnanswered, outage(0, ASKED_US - 1, ASKED_US + 9))).isEmpty();
+        assertThat(broken(RuleCheckTest::isUnanswered, outage(1, ASKED_US - 1, ASKED_US + 9)))
+            .containsExactly(Rule.NO_ANSWER);
+    }
+
+    @Test
+    void aRequestThatCameWhileItsGatekeeperWasAboutToEndIsNotExcused() {
+        assertThat(broken(RuleCheckTest::isUnanswered, new Outage(0, ASKED_US - 9, ASKED_US + 1, ASKED_US + 9)))
             .containsExactly(Rule.NO_ANSWER);
     }
 
@@ -74,7 +90,7 @@
     void anEndThatIsToldLateOrNeverIsFound() {
         assertThat(broken(call -> call.toldUs = OVER_US + RuleCheck.TOLD_WITHIN_US + 1)).containsExactly(Rule.UNTOLD);
         assertThat(broken(call -> call.toldUs = 0)).containsExactly(Rule.UNTOLD);
-        assertThat(broken(call -> call.toldUs = 0, new Outage(0, OVER_US, OVER_US + 1))).as("nobody knows it").isEmpty();
+        assertThat(broken(call -> call.toldUs = 0, outage(0, OVER_US, OVER_US + 1))).as("nobody knows it").isEmpty();
     }
 
     @Test
@@ -82,6 +98,63 @@
         assertThat(broken(call -> call.overUs = 0)).containsExactly(Rule.ENDED_WHILE_STANDING);
     }
 
+    @Test
+    void aCallThatIsEndedAfterTheListHasDroppedItsServerIsAllowed() {
+        assertThat(broken(call -> {
+            call.overUs = 0;
+            call.mayEndFromUs = call.toldUs;
+        })).isEmpty();
+        assertThat(broken(call -> {
+            call.overUs = 0;
+            call.mayEndFromUs = call.toldUs + 1;
+        })).as("before that").containsExactly(Rule.ENDED_WHILE_STANDING);
+    }
+
+    @Test
+    void aReleaseThatIsToldLateIsFound() {
+        assertThat(broken(call -> {
+            call.releasedUs = OVER_US;
+            call.toldUs = OVER_US + RuleCheck.RELEASED_WITHIN_US;
+        })).isEmpty();
+        Consumer<CallRecord> late = call -> {
+            call.releasedUs = OVER_US;
+            call.toldUs = OVER_US + RuleCheck.RELEASED_WITHIN_US + 1;
+        };
+        assertThat(broken(late)).containsExactly(Rule.RELEASE_LATE);
+        assertThat(broken(late, outage(0, OVER_US, OVER_US + 1))).as("its gatekeeper was not there").isEmpty();
+    }
+
+    @Test
+    void aReleaseThatCouldNotBeToldForWantOfCallersIsExcused() {
+        CallRecord call = new CallRecord(1, 0, ASKED_US);
+        call.finalAnswers = 1;
+        call.status = 200;
+        call.answeredUs = ASKED_US;
+        call.releasedUs = OVER_US;
+        call.overUs = OVER_US;
+        call.toldUs = OVER_US + 2 * RuleCheck.RELEASED_WITHIN_US;
+        assertThat(rules(List.of(), List.of(new Absence(0, OVER_US, OVER_US + 1)), List.of(call))).isEmpty();
+        assertThat(rules(List.of(), List.of(new Absence(1, OVER_US, OVER_US + 1)), List.of(call)))
+            .containsExactly(Rule.RELEASE_LATE);
+    }
+
+    @Test
+    void aSetUpAtAServerThatIsGoneIsFound() {
+        assertThat(broken(call -> call.sentToGone = true)).containsExactly(Rule.SENT_TO_GONE);
+    }
+
+    @Test
+    void setUpsForCallersThatLeftAreFoundFromTheThirdOn() {
+        List<CallRecord> calls = LongStream.range(0, 4).mapToObj(id -> new CallRecord(id, 0, ASKED_US)).toList();
+        calls.forEach(call -> {
+            call.leftUs = ASKED_US + 1;
+            call.sentAfterLeave = call.id < 3;
+        });
+        assertThat(rules(List.of(), List.of(), calls)).containsExactly(Rule.SENT_AFTER_LEAVE);
+        calls.get(2).sentAfterLeave = false;
+        assertThat(rules(List.of(), List.of(), calls)).isEmpty();
+    }
+
     @Test
     void seedsThatCannotBeReadAreToldWithTheirOption() {
         CommandLine soak = new CommandLine(new FaultSoak()).setErr(new PrintWriter(new StringWriter()));
