--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -169,11 +169,14 @@
             dead.put(connections.id, Long.MAX_VALUE);
         });
         quota.servers(now.size());
+        boolean isFirst = servers.all().isEmpty();
         now.forEach((id, e) -> {
             ServerConnections connections = servers.find(id);
             if (connections == null) {
                 connections = servers.list(e);
-                logState(connections, "listed");
+                if (!isFirst) {
+                    logState(connections, "listed");
+                }
                 connections.connect();
             }
             if (e.entry().startedAtUs() > connections.launchedUs) {
