--- a/src/main/java/grebewick/lab/faults/SoakRecords.java
+++ b/src/main/java/grebewick/lab/faults/SoakRecords.java
@@ -76,7 +76,8 @@
         }
         call.heldTwice |= servers.isHeldElsewhere(id, server);
         call.sentToGone |= servers.mayTakeNothing(server, nowUs());
-        call.sentAfterLeave |= call.leftUs > 0 && nowUs() > call.leftUs + AFTER_LEAVE_US;
+        // What is held on its way to a struck server left its gatekeeper earlier.
+        call.sentAfterLeave |= !servers.isStruck(server) && call.leftUs > 0 && nowUs() > call.leftUs + AFTER_LEAVE_US;
     }
 
     /** A server's answer leaves. */
