Soak: drains outlast their grace; an answer that got lost is no stand

Change: a change counts as told after 1.5 s unless the name service is away at that moment; drains last 4 to 8 s; a later server's answer takes back what the earlier one's record says.

--- a/src/main/java/grebewick/lab/faults/SoakPlan.java
+++ b/src/main/java/grebewick/lab/faults/SoakPlan.java
@@ -25,6 +25,8 @@
     private static final int SPREAD_MS = 9_000;
     private static final int LEAST_FAULT_MS = 2_000;
     private static final int LONGEST_CUT_MS = 6_000;
+    /** ms. A drain lasts for longer than it may go unheeded. */
+    private static final int MORE_DRAIN_MS = 2_000;
     private static final int LONGEST_DISCOVERY_MS = 8_000;
     private static final int LONGEST_AWAY_MS = 3_000;
     private static final int CROWD_MS = 2_000;
@@ -83,7 +85,9 @@
         int struck = 1 + random.nextInt(MOST_STRUCK);
         for (int server = 0; server < struck; server++) {
             Kind kind = Kind.values()[random.nextInt(Kind.RESETS.ordinal() + 1)];
-            events.add(new Event(at(random), kind, server, LEAST_FAULT_MS + random.nextInt(LONGEST_CUT_MS - LEAST_FAULT_MS + 1)));
+            long atMs = at(random);
+            long forMs = LEAST_FAULT_MS + random.nextInt(LONGEST_CUT_MS - LEAST_FAULT_MS + 1);
+            events.add(new Event(atMs, kind, server, kind == Kind.DRAIN ? forMs + MORE_DRAIN_MS : forMs));
         }
         if (random.nextBoolean()) {
             events.add(new Event(at(random), Kind.DISCOVERY_SILENT, 0, 1_000 + random.nextInt(LONGEST_DISCOVERY_MS)));
@@ -113,9 +117,4 @@
     private static long at(SplittableRandom random) {
         return FIRST_MS + random.nextInt(SPREAD_MS);
     }
-
-    /** Whether the name service may be asked throughout. */
-    boolean isDiscoveryUp() {
-        return events.stream().noneMatch(event -> event.kind() == Kind.DISCOVERY_SILENT || event.kind() == Kind.RELOADS);
-    }
 }
--- a/src/main/java/grebewick/lab/faults/SoakRecords.java
+++ b/src/main/java/grebewick/lab/faults/SoakRecords.java
@@ -84,6 +84,9 @@
     void answered(long id, int server) {
         CallRecord call = calls.get(id);
         if (call != null && call.status == 0) {
+            // An earlier server's answer did not arrive: the call never stood there for anybody.
+            call.overUs = 0;
+            call.releasedUs = 0;
             call.server = server;
             call.mayEndFromUs = servers.unlistedUs(server);
         }
--- a/src/main/java/grebewick/lab/faults/SoakRun.java
+++ b/src/main/java/grebewick/lab/faults/SoakRun.java
@@ -46,7 +46,7 @@
     /** Starts all parties; {@code command} starts a gatekeeper. */
     SoakRun(SoakPlan plan, List<String> command) throws Exception {
         this.plan = plan;
-        servers = new SoakServers(vertx, plan.servers(), plan.answerMs(), plan.isDiscoveryUp());
+        servers = new SoakServers(vertx, plan.servers(), plan.answerMs());
         for (int i = 0; i < plan.gatekeepers(); i++) {
             StandInCallers callers = new StandInCallers(vertx, "a", plan.deadlineMs());
             callers.observe(servers.records().callersOf(i), (i + 1) * CALL_IDS);
@@ -149,15 +149,19 @@
     private void strike(Event event) throws Exception {
         switch (event.kind()) {
             case DISCOVERY_SILENT -> {
+                servers.discoveryIsAway();
                 servers.silence(true);
                 Thread.sleep(event.forMs());
                 servers.silence(false);
+                servers.discoveryIsBack();
             }
             case RELOADS -> {
+                servers.discoveryIsAway();
                 gatekeepers.get(event.target()).reloads();
                 for (SoakGatekeeper gatekeeper : gatekeepers) {
                     gatekeeper.follow();
                 }
+                servers.discoveryIsBack();
             }
             case GATEKEEPER_TERM -> gatekeepers.get(event.target()).terminate(false);
             case ROLLING_TERM -> {
--- a/src/main/java/grebewick/lab/faults/SoakServers.java
+++ b/src/main/java/grebewick/lab/faults/SoakServers.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** The servers of a play, each behind a fault proxy, and the name service with their list. Faults come from any thread. */
 final class SoakServers implements AutoCloseable {
@@ -24,18 +25,20 @@
     private static final long BACK_AFTER_MS = 150;
     private static final long RESTARTED_AFTER_MS = 300;
     private static final long START_TOLD_AFTER_MS = 1_000;
-    /** us. For the drain grace, the margin of sockets, and until a change counts as told. */
+    /** us. The drain grace and the margin of sockets. */
     private static final long GRACE_US = 2_050_000;
+    /** us. Until a change counts as told; the longer one where the name service cannot be asked as it happens. */
     private static final long TOLD_WITHIN_US = 1_500_000;
     private static final long TOLD_AT_THE_LATEST_US = 7_000_000;
     private static final String ZONE = "east";
 
     private final Vertx vertx;
     private final long answerMs;
-    private final long graceUs;
     private final SoakRecords records = new SoakRecords(this);
     private final List<Server> servers = new CopyOnWriteArrayList<>();
     private final Set<Integer> struck = ConcurrentHashMap.newKeySet();
+    /** Faults that keep gatekeepers from asking the name service now. */
+    private final AtomicInteger discoveryFaults = new AtomicInteger();
     private volatile StandInNames names;
     private volatile int namesPort;
 
@@ -47,7 +50,7 @@
         volatile boolean listed = true;
         /** us. When the list dropped it; 0: it has it. */
         volatile long unlistedUs;
-        /** us. When the list told that it takes nothing more; 0: it does. */
+        /** us. When it counts as told that it takes nothing more; 0: it does. */
         volatile long closedUs;
 
         Server(FaultProxy proxy, StandInServer process, StandInNames.Host host) {
@@ -57,11 +60,9 @@
         }
     }
 
-    /** {@code discoveryUp}: the name service may be asked throughout the play. */
-    SoakServers(Vertx vertx, int count, long answerMs, boolean discoveryUp) throws Exception {
+    SoakServers(Vertx vertx, int count, long answerMs) throws Exception {
         this.vertx = vertx;
         this.answerMs = answerMs;
-        graceUs = GRACE_US + (discoveryUp ? TOLD_WITHIN_US : TOLD_AT_THE_LATEST_US);
         for (int i = 0; i < count; i++) {
             add(i, 0);
         }
@@ -107,6 +108,10 @@
         });
     }
 
+    private long toldUs() {
+        return nowUs() + (discoveryFaults.get() == 0 ? TOLD_WITHIN_US : TOLD_AT_THE_LATEST_US);
+    }
+
     private static long nowUs() {
         return System.nanoTime() / 1000;
     }
@@ -127,7 +132,7 @@
     /** Whether the list told so long ago that it drains or is gone that nothing new may reach it. */
     boolean mayTakeNothing(int server, long nowUs) {
         long closedUs = servers.get(server).closedUs;
-        return closedUs > 0 && nowUs > closedUs + graceUs;
+        return closedUs > 0 && nowUs > closedUs + GRACE_US;
     }
 
     long unlistedUs(int server) {
@@ -149,6 +154,15 @@
         return servers.get(server).proxy;
     }
 
+    /** From now on, until {@link #discoveryIsBack}, gatekeepers may not reach the name service. */
+    void discoveryIsAway() {
+        discoveryFaults.incrementAndGet();
+    }
+
+    void discoveryIsBack() {
+        discoveryFaults.decrementAndGet();
+    }
+
     /** The name service answers nobody, or does again. */
     void silence(boolean silent) throws Exception {
         onLoop(() -> names.silent(silent));
@@ -215,7 +229,7 @@
         Server server = servers.get(index);
         server.listed = false;
         server.unlistedUs = nowUs();
-        server.closedUs = server.closedUs == 0 ? nowUs() : server.closedUs;
+        server.closedUs = server.closedUs == 0 ? toldUs() : server.closedUs;
         publish();
         onLoop(() -> records.mayEnd(index));
     }
@@ -260,7 +274,7 @@
     void drainThenEnd(int server, long drainMs) throws Exception {
         StandInNames.Host before = servers.get(server).host;
         servers.get(server).host = new StandInNames.Host(before.id(), ZONE, before.port(), before.group(), true, 0);
-        servers.get(server).closedUs = nowUs();
+        servers.get(server).closedUs = toldUs();
         publish();
         Thread.sleep(drainMs);
         unlistWithAnswersOnTheirWay(server);
