--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -25,7 +25,7 @@
 import java.util.Random;
 import java.util.function.Consumer;
 
-/** The platform's gatekeeper: callers by SIP, recipe servers by the binary protocol. All calls on one event loop. */
+/** The platform's gatekeeper: callers by SIP, servers by the binary protocol. All calls on one event loop. */
 public final class Node {
     /** Connections accepted and not yet seen, files (38 counted in a fleet day) and what else is no connection. */
     private static final int KEPT_BACK = Daemon.UNSEEN + 48;
--- a/src/main/java/grebewick/config/Endpoint.java
+++ b/src/main/java/grebewick/config/Endpoint.java
@@ -2,5 +2,5 @@
 
 import grebewick.core.CallControl.ServerEntry;
 
-/** A listed recipe server: what the module sees of it, and where it listens. */
+/** A listed server: what the module sees of it, and where it listens. */
 public record Endpoint(ServerEntry entry, Address address) {}
--- a/src/main/java/grebewick/lab/StandInServer.java
+++ b/src/main/java/grebewick/lab/StandInServer.java
@@ -23,7 +23,7 @@
 import java.util.function.LongConsumer;
 
 /**
- * A recipe server by the platform's protocol: each set-up is answered after a while, stands, and is released. What it
+ * A server by the platform's protocol: each set-up is answered after a while, stands, and is released. What it
  * has released goes out on the connection of the set-up, else on all, and again on those that are opened next.
  * All on the event loop that it was made on.
  */
--- a/src/main/java/grebewick/sip/OfferReader.java
+++ b/src/main/java/grebewick/sip/OfferReader.java
@@ -9,7 +9,7 @@
 import java.util.stream.Collectors;
 
 /**
- * Makes an offer of an INVITE. Guards the core against figures that are none or out of range, and the recipe servers
+ * Makes an offer of an INVITE. Guards the core against figures that are none or out of range, and the servers
  * against what they can't read: they close a connection with all that is open on it.
  */
 final class OfferReader {
--- a/src/main/java/grebewick/trunk/ServerConnection.java
+++ b/src/main/java/grebewick/trunk/ServerConnection.java
@@ -8,14 +8,14 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 
-/** One connection to a recipe server, and the calls that were set up on it. */
+/** One connection to a server, and the calls that were set up on it. */
 final class ServerConnection {
     private static final int MOST_ENDED = 256;
 
     final NetSocket socket;
     final TrunkCodec codec = new TrunkCodec();
     /** Calls whose set-up went out here: waiting for their answer, and standing. */
-    final Set<Trunk.CallLeg> legs = new LinkedHashSet<>();
+    final Set<CallLeg> legs = new LinkedHashSet<>();
     /** Calls that an attempt of ended here before it stood, the latest: a second copy of that end may follow. */
     private final Set<Long> ended = new LinkedHashSet<>();
     /** Its number among those with this server, in the order in which they came up. */
@@ -107,7 +107,7 @@
     /** Set-ups that wait for their answer here. */
     int open() {
         int n = 0;
-        for (Trunk.CallLeg leg : legs) {
+        for (CallLeg leg : legs) {
             n += leg.stands ? 0 : 1;
         }
         return n;
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -20,7 +20,7 @@
 import java.util.function.Consumer;
 
 /**
- * A few connections to one recipe server, opened as soon as it is listed and again when one is lost. Set-ups are
+ * A few connections to one server, opened as soon as it is listed and again when one is lost. Set-ups are
  * spread over them: an answer that cannot be read, and a reset, take along whatever else is open on their connection.
  */
 final class ServerConnections {
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -34,7 +34,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
-/** The recipe servers over their binary protocol: a few connections to each, and the calls that are on them. */
+/** The servers over their binary protocol: a few connections to each, and the calls that are on them. */
 public final class Trunk implements Servers<byte[]>, ServerConnections.Owner {
     /** us. Silence after a set-up that casts doubt on a connection, at the most: sooner where repeats are due sooner. */
     private static final long DOUBT_US = 500_000;
@@ -553,29 +553,5 @@
         }
     }
 
-    /** One call at one server. */
-    static final class CallLeg {
-        final long call;
-        final int copy;
-        final ServerConnections connections;
-        final Offer<byte[]> offer;
-        final TrunkMessage message;
-        ServerConnection on;
-        /** Where it stands; null: it does not. */
-        ProcessLease process;
-        long sentUs;
-        /** The network has its bytes. */
-        boolean sent;
-        boolean stands;
-
-        CallLeg(long call, int copy, ServerConnections connections, Offer<byte[]> offer, TrunkMessage message) {
-            this.call = call;
-            this.copy = copy;
-            this.connections = connections;
-            this.offer = offer;
-            this.message = message;
-        }
-    }
-
     private record Probe(String server, long sentUs, Runnable cancel) {}
 }
--- a/src/main/java/grebewick/trunk/TrunkMessage.java
+++ b/src/main/java/grebewick/trunk/TrunkMessage.java
@@ -1,6 +1,6 @@
 package grebewick.trunk;
 
-/** One message of the recipe servers' binary protocol; text that is absent is empty. */
+/** One message of the servers' binary protocol; text that is absent is empty. */
 public record TrunkMessage(int type, long call, String tier, String number, long waitMs, String note, String report,
                            int cause, byte[] description) {
     public static final int SET_UP = 1;
--- a/src/test/java/grebewick/NodeDiscoveryTest.java
+++ b/src/test/java/grebewick/NodeDiscoveryTest.java
@@ -29,7 +29,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** A gatekeeper whose list comes by zone transfer: recipe servers s1 (first choice) and s2, and a stand-in replica. */
+/** A gatekeeper whose list comes by zone transfer: servers s1 (first choice) and s2, and a stand-in replica. */
 class NodeDiscoveryTest {
     private static final String ZONE = "s12.east.fleet.local.";
     private static final String OTHER = "s13.east.fleet.local.";
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** The platform's front on sockets: callers c and d, recipe servers s1 (first choice) and s2. */
+/** The platform's front on sockets: callers c and d, servers s1 (first choice) and s2. */
 class NodeTest {
     private static final int SOCKETS = 12;
     private final Scenario s = new Scenario();
--- a/src/test/java/grebewick/ProcessTest.java
+++ b/src/test/java/grebewick/ProcessTest.java
@@ -23,7 +23,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The whole process between caller c and recipe server s1, and the system's signals. */
+/** The whole process between caller c and server s1, and the system's signals. */
 @Timeout(100)
 class ProcessTest {
     /** Exit status after SIGTERM, as of any process that it ends. */
--- a/src/test/java/grebewick/RestartTest.java
+++ b/src/test/java/grebewick/RestartTest.java
@@ -21,7 +21,7 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Gatekeeper n0 that is killed, told to end and started again between callers c, d and recipe servers s1 (first
+ * Gatekeeper n0 that is killed, told to end and started again between callers c, d and servers s1 (first
  * choice), s2. Its lines: {@code n0 starts}, {@code n0 starts beside a draining s2}, {@code n0 is killed},
  * {@code n0 is told to end}, {@code n0 has ended}.
  */
--- a/src/test/java/grebewick/trunk/TrunkDialect.java
+++ b/src/test/java/grebewick/trunk/TrunkDialect.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** A recipe server's messages as text: {@code set-up 01 tier number offer}, {@code release 01 34 cpu_full}. */
+/** A server's messages as text: {@code set-up 01 tier number offer}, {@code release 01 34 cpu_full}. */
 public final class TrunkDialect implements Dialect {
     private static final Map<String, Integer> TYPES = Map.of("set-up", 1, "progress", 6, "answer", 9, "release", 12,
         "released", 16, "state", 43, "test", 52, "tested", 53);
@@ -43,7 +43,7 @@
         });
     }
 
-    /** Any recipe server answers a test, whatever else the scenario is about. */
+    /** Any server answers a test, whatever else the scenario is about. */
     @Override
     public String reply(String message) {
         return message.startsWith("test ") ? "tested " + message.substring("test ".length()) + " 1" : null;
