A server that a change names as gone holds no call, as one that a whole list leaves out

Cause: the mend of a call answered after its server left the list looked for the server's name alone; news of changes name a server that is gone. The platform's fronts tell whole lists; another front of the core may tell changes.

--- a/src/main/java/grebewick/core/AttemptRules.java
+++ b/src/main/java/grebewick/core/AttemptRules.java
@@ -29,7 +29,8 @@
 
     /** Whether the list has a server, draining or not. */
     boolean isListed(String server) {
-        return stages.containsKey(server);
+        Stage stage = stages.get(server);
+        return stage != null && stage != Stage.DEREGISTERED;
     }
 
     /** Whether a server is listed and takes new calls. */
--- a/src/test/java/grebewick/core/AttemptRulesTest.java
+++ b/src/test/java/grebewick/core/AttemptRulesTest.java
@@ -43,6 +43,15 @@
         assertThat(rules.isHealthy("unknown")).isFalse();
     }
 
+    /** Changes alone name a server that is gone; a whole list leaves it out. */
+    @Test
+    void aServerThatIsGoneIsNotListedHoweverThatIsTold() {
+        assertThat(rules.isListed("well")).isTrue();
+        assertThat(rules.isListed("draining")).isTrue();
+        assertThat(rules.isListed("gone")).isFalse();
+        assertThat(rules.isListed("unknown")).isFalse();
+    }
+
     @Test
     void neverPastItsTimeOrWithinTheReleaseTimeOrBeyondTheAttempts() {
         assertThat(rules.violation(call, 0, "well", NOW + 1)).isEqualTo("call 7 is past its time");
