--- a/review/src/cases/DiameterCase.java
+++ b/review/src/cases/DiameterCase.java
@@ -94,7 +94,7 @@
         if (stood == 0) {
             return Case.COULD_NOT_RUN;
         }
-        // 8 s, the longest time until an end is told.
+        // 8 s and the slack, the longest time until an end is told.
         Thread.sleep(8100);
         int left = 0;
         for (int i = 1; i <= 10; i++) {
