--- a/review/src/cases/SilentConnection.java
+++ b/review/src/cases/SilentConnection.java
@@ -29,7 +29,7 @@
         List<Server> servers = new ArrayList<>();
         List<Way> ways = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
-            Server server = new Server("s-" + i, c -> 60, c -> 8200 + (c.id & 1023), calls, record);
+            Server server = new Server("s-" + i, c -> 20, c -> 8200 + (c.id & 1023), calls, record);
             servers.add(server);
             ways.add(new Way("way to s-" + i, server.port, record));
             names.put(new Names.Server("s-" + i, "a", ways.get(i).port, i, false, 0));
@@ -41,22 +41,21 @@
         }
         Callers callers = new Callers(port, 4, calls, record);
         Thread.sleep(1000);
-        // Two calls at once to each server, some 12 calls a second.
-        for (int i = 0; i < 60; i++) {
-            callers.ask("recept-olvasas", i / 2 % 2, 9000, 0);
-            Thread.sleep(i % 4 < 3 ? 5 : 300);
-        }
-        Thread.sleep(1000);
-        double silentS = record.now();
-        if (trouble) {
-            ways.get(0).silence(ways.get(0).links.stream().filter(link -> !link.ended).findFirst().orElseThrow());
-        }
-        // Calls go on, at the other server.
-        for (int i = 0; i < 40; i++) {
-            callers.ask("recept-olvasas", 1, 9000, 0);
-            Thread.sleep(500);
+        double silentS = record.now() + 10;
+        double endS = silentS + 26;
+        boolean silent = false;
+        int next = 0;
+        while (record.now() < endS) {
+            if (!silent && record.now() >= silentS) {
+                silent = true;
+                silentS = record.now();
+                if (trouble) {
+                    ways.get(0).silence(ways.get(0).busiest());
+                }
+            }
+            callers.ask("recept-olvasas", next++ % servers.size(), 9000, 0);
+            Thread.sleep(110);
         }
-        Thread.sleep(2000);
         int stood = 0;
         int untold = 0;
         for (Calls.Call call : calls.all.values()) {
--- a/review/src/standin/Way.java
+++ b/review/src/standin/Way.java
@@ -7,7 +7,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** A way over which connections lead to a server; single ones can fall silent, in both directions or one. */
 public final class Way {
@@ -19,6 +21,7 @@
         final Socket near;
         final Socket far;
         public volatile boolean ended;
+        public final AtomicLong bytes = new AtomicLong();
 
         Link(int number, Socket near, Socket far) {
             this.number = number;
@@ -62,6 +65,7 @@
             OutputStream out = to.getOutputStream();
             for (int n = in.read(bytes); n >= 0; n = in.read(bytes)) {
                 if (!(toServer ? link.silentToServer : link.silentToGatekeeper)) {
+                    link.bytes.addAndGet(n);
                     out.write(bytes, 0, n);
                     out.flush();
                 }
@@ -79,6 +83,11 @@
         }
     }
 
+    /** The open connection that most has passed over. */
+    public Link busiest() {
+        return links.stream().filter(link -> !link.ended).max(Comparator.comparingLong(link -> link.bytes.get())).orElseThrow();
+    }
+
     public void silence(Link link) {
         link.silentToServer = true;
         link.silentToGatekeeper = true;
