--- a/src/main/java/grebewick/diameter/DiameterNode.java
+++ b/src/main/java/grebewick/diameter/DiameterNode.java
@@ -9,14 +9,18 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.core.net.ServerSSLOptions;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** The second front: Diameter on both sides of a gatekeeper core of its own. */
 public final class DiameterNode {
     /** us. Between looks at whether the certificate is due. */
     private static final long LOOK_US = 12L * 3600 * 1_000_000;
+    /** us. Until the next order after a renewal that failed. */
+    private static final long RETRY_US = 3600L * 1_000_000;
 
     private final Vertx vertx;
     private final Clock clock;
@@ -49,9 +53,15 @@
             return listen(options);
         }
         Certificates certificates = new Certificates(vertx, config.acme(), log);
-        return certificates.listen().compose(port -> certificates.current(now()))
+        return certificates.listen().compose(port -> startWith(certificates, options));
+    }
+
+    /** A valid certificate serves at once, whatever the authority does meanwhile. */
+    private Future<NetServer> startWith(Certificates certificates, NetServerOptions options) {
+        Optional<PemKeyCertOptions> valid = certificates.valid(now());
+        return valid.map(Future::succeededFuture).orElseGet(() -> certificates.current(now()))
             .compose(certificate -> listen(options.setSsl(true).setKeyCertOptions(certificate)))
-            .onSuccess(server -> timers.after(LOOK_US, () -> renew(certificates, server)));
+            .onSuccess(server -> renew(certificates, server));
     }
 
     private Future<NetServer> listen(NetServerOptions options) {
@@ -59,14 +69,17 @@
             .listen(config.listen().port(), config.listen().host());
     }
 
-    /** Connections that are open go on; new ones get the new certificate. */
+    /** Renews the certificate where it is due, now and again later. */
     private void renew(Certificates certificates, NetServer server) {
-        timers.after(LOOK_US, () -> renew(certificates, server));
-        if (certificates.due(now())) {
-            certificates.current(now())
-                .compose(certificate -> server.updateSSLOptions(new ServerSSLOptions().setKeyCertOptions(certificate)))
-                .onFailure(e -> log.accept("acme: " + e.getMessage()));
+        if (!certificates.due(now())) {
+            timers.after(LOOK_US, () -> renew(certificates, server));
+            return;
         }
+        certificates.current(now())
+            // Connections that are open go on; new ones get the new certificate.
+            .compose(certificate -> server.updateSSLOptions(new ServerSSLOptions().setKeyCertOptions(certificate)))
+            .onFailure(e -> log.accept("acme: " + e.getMessage()))
+            .onComplete(done -> timers.after(certificates.due(now()) ? RETRY_US : LOOK_US, () -> renew(certificates, server)));
     }
 
     private Instant now() {
--- a/src/test/java/grebewick/acme/StandInAuthority.java
+++ b/src/test/java/grebewick/acme/StandInAuthority.java
@@ -10,6 +10,8 @@
 import java.math.BigInteger;
 import java.security.KeyPair;
 import java.security.KeyPairGenerator;
+import java.security.PublicKey;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Base64;
 import java.util.Date;
@@ -27,6 +29,12 @@
 
 /** An authority of RFC 8555 for one order at a time: it checks nonces, signatures and the http-01 challenge. */
 public final class StandInAuthority {
+    /** Chains that it issues: a sound one, and malformed ones. */
+    enum ChainForm {
+        SOUND, ISSUER_FIRST, ISSUER_ALONE, EMPTY, CUT, ANOTHER_KEY, ANOTHER_NAME, ANOTHER_ISSUER, EXPIRED
+    }
+
+    private static final Duration LIFE = Duration.ofDays(90);
     private static final String TOKEN = "0123456789abcdef0123456789abcdef0123456789a";
 
     private final Vertx vertx;
@@ -42,6 +50,8 @@
     int challengePort;
     int orders;
     boolean away;
+    ChainForm form = ChainForm.SOUND;
+    private final KeyPair key;
 
     /** One that signs from {@code from} on, and looks for challenges at {@code challengePort}. */
     public StandInAuthority(Vertx vertx, Instant from, int challengePort) {
@@ -49,6 +59,11 @@
         this.from = from;
         this.challengePort = challengePort;
         this.client = vertx.createHttpClient();
+        try {
+            key = keys();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
     }
 
     /** Gives the URL of the directory. */
@@ -59,6 +74,11 @@
         });
     }
 
+    /** From now on it looks for challenges at that port. */
+    public void challengesAt(int port) {
+        challengePort = port;
+    }
+
     private void take(HttpServerRequest request) {
         String nonce = "nonce-" + nextNonce++;
         nonces.add(nonce);
@@ -148,14 +168,42 @@
     }
 
     private String issue(byte[] csr) throws Exception {
-        JcaPKCS10CertificationRequest asked = new JcaPKCS10CertificationRequest(csr);
+        PublicKey asked = new JcaPKCS10CertificationRequest(csr).getPublicKey();
+        String root = pem(certificate("CN=Stand-in", key.getPublic(), Duration.ofDays(3650), key));
+        KeyPair other = keys();
+        String leaf = pem(switch (form) {
+            case ANOTHER_KEY -> certificate("CN=" + domain, other.getPublic(), LIFE, key);
+            case ANOTHER_NAME -> certificate("CN=another.example", asked, LIFE, key);
+            case EXPIRED -> certificate("CN=" + domain, asked, Duration.ofSeconds(-1), key);
+            case ANOTHER_ISSUER -> certificate("CN=" + domain, asked, LIFE, other);
+            default -> certificate("CN=" + domain, asked, LIFE, key);
+        });
+        return switch (form) {
+            case ISSUER_FIRST -> root + leaf;
+            case ISSUER_ALONE -> root;
+            case EMPTY -> "\n";
+            case CUT -> leaf.substring(0, leaf.length() / 2);
+            default -> leaf + root;
+        };
+    }
+
+    private static KeyPair keys() throws Exception {
         KeyPairGenerator generator = KeyPairGenerator.getInstance("EC");
         generator.initialize(256);
-        KeyPair authority = generator.generateKeyPair();
-        byte[] certificate = new JcaX509v3CertificateBuilder(new X500Name("CN=Stand-in"), BigInteger.valueOf(orders),
-            Date.from(from), Date.from(from.plusSeconds(90 * 86_400)), new X500Name("CN=" + domain), asked.getPublicKey())
-            .addExtension(Extension.subjectAlternativeName, false, new GeneralNames(new GeneralName(GeneralName.dNSName, domain)))
-            .build(new JcaContentSignerBuilder("SHA256withECDSA").build(authority.getPrivate())).getEncoded();
+        return generator.generateKeyPair();
+    }
+
+    private byte[] certificate(String subject, PublicKey of, Duration life, KeyPair issuer) throws Exception {
+        String name = subject.substring("CN=".length());
+        Instant to = from.plus(life);
+        Date notBefore = Date.from(life.isNegative() ? to.minus(LIFE) : from);
+        return new JcaX509v3CertificateBuilder(new X500Name("CN=Stand-in"), BigInteger.valueOf(orders), notBefore,
+            Date.from(to), new X500Name(subject), of)
+            .addExtension(Extension.subjectAlternativeName, false, new GeneralNames(new GeneralName(GeneralName.dNSName, name)))
+            .build(new JcaContentSignerBuilder("SHA256withECDSA").build(issuer.getPrivate())).getEncoded();
+    }
+
+    private static String pem(byte[] certificate) {
         return "-----BEGIN CERTIFICATE-----\n" + Base64.getMimeEncoder(64, new byte[] {'\n'}).encodeToString(certificate)
             + "\n-----END CERTIFICATE-----\n";
     }
