Core: an id that a server may have run is not sent again when it comes back

Cause: the release time and "may have run" live in CallState, which ends with the call. The same id was a new call with no past.

The protocol wants a new id for every set-up, a retry's too, so no sound caller is refused. An id that never left may come again.

--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -32,6 +32,7 @@
     private final Consumer<String> log;
     private final EventLog eventLog;
     private final CallTable<P> calls = new CallTable<>();
+    private final SpentCalls spentCalls = new SpentCalls();
     private final AttemptRules rules;
     private final PendingTimers pendingTimers;
     private final ModuleEvents events;
@@ -72,6 +73,10 @@
                 refuse(call, "too-many-open", () -> caller.refused(id, set.bounds().maxRetryAfterUs()));
                 return;
             }
+            if (spentCalls.has(offer.id(), nowUs)) {
+                refuse(call, "may-have-run-before", () -> caller.failed(id));
+                return;
+            }
             pendingTimers.add(call.dropDeadUs + GUARD_US, PendingTimers.Kind.END_OF_CALL, id, 0);
             events.add(new Call(id, call.dropDeadUs, false, false, offer.isRetry(), offer.units(),
                 offer.reconnect(), 0, "", offer.hop(), offer.item(), offer.farEnd(), offer.band()));
@@ -144,7 +149,7 @@
         eventLog.write(Event.ATTEMPT_ENDED, () -> "call=" + EventLog.id(call.offer.id()) + " attempt=" + attempt.copy + " server="
             + attempt.server + " state=" + state + " left=" + attempt.left + " after-ms=" + (nowUs - attempt.chosenUs) / 1000);
         if (call.answered) {
-            calls.remove(call);
+            forget(call);
         }
         events.add(new Result(call.id, attempt.copy, state, call.answered, attempt.server, nowUs - attempt.chosenUs, why,
             metrics));
@@ -246,11 +251,19 @@
         }
         calls.answered(call);
         if (call.attempt == null) {
-            calls.remove(call);
+            forget(call);
         }
         how.run();
     }
 
+    /** A call that never stood is over. */
+    private void forget(CallState<P> call) {
+        calls.remove(call);
+        if (call.mayHaveRun) {
+            spentCalls.add(call.offer.id(), nowUs);
+        }
+    }
+
     /** Answers at once; an attempt still out is given up, as no answer of it could be passed on. */
     private void answerNow(long id, String reason, Consumer<CallState<P>> how) {
         CallState<P> call = calls.find(id);
--- a/src/main/java/grebewick/core/Offer.java
+++ b/src/main/java/grebewick/core/Offer.java
@@ -1,7 +1,7 @@
 package grebewick.core;
 
 /**
- * A caller's call as a front took it. {@code id} and {@code description}, of the wire's own type,
+ * A caller's call as a front took it. {@code id}, by which its caller names it, and {@code description}, of the wire's own type,
  * go on to the servers as they are;
  * {@code leftUs} is how long the caller still waits.
  */
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -92,6 +92,13 @@
         isNotSentOn();
     }
 
+    /** Guards the release time where the id of a caller that has left comes again on another connection. */
+    @Test
+    void whileItsIdComesAgainOnAnotherConnection() {
+        s.play("c > INVITE 01\n s1 < set-up 01*\n c closes\n s1 < release 01 16\n wait 50\n d > INVITE 01\n d < 500 INVITE 01");
+        isNotSentOn();
+    }
+
     /**
      * Its connection is closed from this side, as it reads nothing; what it says there from then on is not heard any more,
      * its leave neither. Its set-up waits out the release time meanwhile.
