Diameter: a client that comes back is answered from the attempt that is out

Cause: DiameterFront.closed forgot the request with its connection, although Diameter cannot take a request back: the first attempt stayed out while the repeat was a new call with an attempt of its own, some 10 ms later. The first attempt's answer then found nobody waiting and its session was ended, which was the session of the second attempt too.

Change: Gatekeeper.detach keeps a call whose attempt is at its server and cannot be given up (Servers.outlivesCaller); no other attempt follows it, and an answer that comes while its client is away is ended as before. A repeat, or the same Session-Id from the same client, reattaches and gets the answer under its own identifiers. A Session-Id that may have run is not sent again (SpentCalls, by an id from the Session-Id). A late answer to an earlier attempt at the same server no longer ends the session of the present one.

--- a/src/main/java/grebewick/core/CallState.java
+++ b/src/main/java/grebewick/core/CallState.java
@@ -12,6 +12,8 @@
     /** Null: none is open. */
     OpenAttempt attempt;
     boolean answered;
+    /** Its caller's connection is lost; it has an attempt open, and no other may follow. */
+    boolean isDetached;
     /** Why it can't stand any more, and is yet to be ended; null: it can. */
     Interruption interruption;
     /** An attempt ended in a way that does not prove that it never ran. */
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -148,7 +148,11 @@
         call.mayHaveRun |= state == State.FAILED;
         eventLog.write(Event.ATTEMPT_ENDED, () -> "call=" + EventLog.id(call.offer.id()) + " attempt=" + attempt.copy + " server="
             + attempt.server + " state=" + state + " left=" + attempt.left + " after-ms=" + (nowUs - attempt.chosenUs) / 1000);
-        if (call.answered) {
+        if (call.isDetached) {
+            // Nobody is there for whom another attempt could be made.
+            answer(call, () -> call.caller.failed(call.id));
+            events.add(new Hangup(call.id));
+        } else if (call.answered) {
             forget(call);
         }
         events.add(new Result(call.id, attempt.copy, state, call.answered, attempt.server, nowUs - attempt.chosenUs, why,
@@ -164,6 +168,10 @@
         if (call == null || !call.hasOpen(copy) || call.answered) {
             return false;
         }
+        if (call.isDetached) {
+            runOnce(() -> end(call, State.CANCELED, 0, List.of()));
+            return false;
+        }
         runOnce(() -> {
             OpenAttempt attempt = call.attempt;
             call.attempt = null;
@@ -228,6 +236,31 @@
         });
     }
 
+    /**
+     * The caller's connection is lost under a set-up. One that is out and can't be taken back stays out, and its caller may come
+     * back for its answer ({@link #reattach}); no other attempt follows it. Any other call is hung up. True: it stays out.
+     */
+    public boolean detach(long id) {
+        CallState<P> call = calls.find(id);
+        if (call == null || call.answered) {
+            return false;
+        }
+        if (call.attempt == null || !call.attempt.left || !servers.outlivesCaller(id)) {
+            hangup(id);
+            return false;
+        }
+        call.isDetached = true;
+        return true;
+    }
+
+    /** The caller of a detached call is back and waits for its answer. */
+    public void reattach(long id) {
+        CallState<P> call = calls.find(id);
+        if (call != null) {
+            call.isDetached = false;
+        }
+    }
+
     private void giveUp(CallState<P> call, State state) {
         if (call.attempt.left) {
             servers.giveUp(call.id, call.attempt.copy, call.attempt.server);
--- a/src/main/java/grebewick/core/Servers.java
+++ b/src/main/java/grebewick/core/Servers.java
@@ -8,6 +8,11 @@
     /** Give up a set-up that is out; what it may still bring is to be released. */
     void giveUp(long call, int copy, String server);
 
+    /** Whether the set-up of a call is at its server, and nothing can give it up there: it runs although its caller is lost. */
+    default boolean outlivesCaller(long call) {
+        return false;
+    }
+
     /** Release a call that stands. */
     void release(long call, String server);
 
--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -15,6 +15,7 @@
 import grebewick.teardown.TeardownRoutes;
 import grebewick.teardown.TeardownSender;
 import io.vertx.core.net.NetSocket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.UUID;
 import java.util.function.Consumer;
 
 /** The clients' side over Diameter: sessions from AAR to STR or ASR (NASREQ, RFC 7155). */
@@ -66,7 +68,6 @@
     };
     /** ASRs, by session: each goes to its own client, and waits for it for as long as the session is remembered. */
     private final TeardownSender<Session, DiameterMessage, Connection> teardowns;
-    private long nextOffer = 1;
     private int nextEndToEnd;
     private boolean stopping;
 
@@ -177,10 +178,12 @@
         }
         Set<Session> hungUp = waiting.remove(c);
         for (Session s : hungUp == null ? List.<Session>of() : List.copyOf(hungUp)) {
-            s.answered = true;
-            sessions.remove(s.id, s);
-            repeats.remove(s.key);
-            core.hangup(s.call);
+            // Guards against a second request for a session that its server may be opening: its client may repeat it.
+            if (!core.detach(s.call)) {
+                s.answered = true;
+                sessions.remove(s.id, s);
+                repeats.remove(s.key);
+            }
         }
     }
 
@@ -193,7 +196,7 @@
             // A repeat of what is in hand is dropped, of what was answered gets the same answer: never a second one.
             DiameterMessage given = repeats.get(key);
             if (given != null) {
-                on.send(given.with(given.flags(), m.hopByHop(), given.avps()));
+                on.send(given.answering(m));
             } else {
                 move(sessions.get(m.text(Avp.SESSION_ID)), key, on, m);
             }
@@ -211,14 +214,31 @@
     private void move(Session s, String key, Connection to, DiameterMessage repeat) {
         if (s != null && !s.answered && s.key.equals(key) && s.on != to) {
             Connection from = s.on;
-            stopWaiting(s);
-            s.on = to;
-            s.request = repeat;
-            startWaiting(s);
+            waitAt(s, to, repeat);
             askToLeave(from);
         }
     }
 
+    private void waitAt(Session s, Connection to, DiameterMessage request) {
+        stopWaiting(s);
+        s.on = to;
+        s.request = request;
+        startWaiting(s);
+        core.reattach(s.call);
+    }
+
+    /** A client that is back asks anew for what is still out: it is no second request. */
+    private boolean isAskedAnew(Session known, Connection on, DiameterMessage m, String key) {
+        if (known.answered || known.on.isOpen() || !known.on.peer().equals(on.peer())) {
+            return false;
+        }
+        repeats.remove(known.key);
+        repeats.put(key, null);
+        known.key = key;
+        waitAt(known, on, m);
+        return true;
+    }
+
     private void startWaiting(Session s) {
         waiting.computeIfAbsent(s.on, c -> new LinkedHashSet<>()).add(s);
     }
@@ -253,7 +273,11 @@
 
     private void authorise(Connection on, DiameterMessage m, String key) {
         Session s = new Session(on, m, key);
-        if (sessions.containsKey(s.id)) {
+        Session known = sessions.get(s.id);
+        if (known != null && isAskedAnew(known, on, m, key)) {
+            return;
+        }
+        if (known != null) {
             // Re-authorisation within a session is not offered here.
             throw new DiameterException(DiameterException.UNABLE_TO_COMPLY, "the session is open", null);
         }
@@ -264,10 +288,15 @@
         }
         sessions.put(s.id, s);
         startWaiting(s);
-        s.call = core.offer(new Offer<>(nextOffer++, config.band(), m.text(Avp.USER_NAME), config.requestUs(),
+        s.call = core.offer(new Offer<>(callId(s.id), config.band(), m.text(Avp.USER_NAME), config.requestUs(),
             m.mayBeRepeat(), false, 1, group(m.text(Avp.DESTINATION_HOST)), -1, m), s);
     }
 
+    /** One id for each Session-Id, which is unique for ever (RFC 6733, section 8.8). */
+    private static long callId(String sessionId) {
+        return UUID.nameUUIDFromBytes(sessionId.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
+    }
+
     /** The number of the server of first choice, -1 for none. */
     private int group(String host) {
         for (DiameterConfig.Peer p : config.peers()) {
@@ -306,7 +335,8 @@
     /** One session on this side. */
     private final class Session implements Callers<DiameterMessage> {
         final String id;
-        final String key;
+        /** Of its request, among the repeats. */
+        String key;
         /** Where its client waits for its answer, and the request as it came there. */
         Connection on;
         DiameterMessage request;
@@ -332,7 +362,7 @@
 
         @Override
         public void stands(long number, DiameterMessage given) {
-            answer(given.with(given.flags(), request.hopByHop(), given.avps()));
+            answer(given.answering(request));
             aborted = given.result() / 1000 != 2;
         }
 
--- a/src/main/java/grebewick/diameter/DiameterMessage.java
+++ b/src/main/java/grebewick/diameter/DiameterMessage.java
@@ -66,6 +66,11 @@
         return new DiameterMessage(newFlags, command, application, newHopByHop, endToEnd, newAvps);
     }
 
+    /** An answer that was given to another request, as the answer to that one. */
+    DiameterMessage answering(DiameterMessage request) {
+        return new DiameterMessage(flags, command, application, request.hopByHop, request.endToEnd, avps);
+    }
+
     /** An answer to this request in this node's name; a protocol error carries the E bit. */
     DiameterMessage answer(Identity me, long result, Avp... more) {
         List<Avp> list = new ArrayList<>();
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -119,6 +119,11 @@
         long result = answer.result();
         boolean waiting = sessions.holds(session);
         if (result / 1000 == 2) {
+            ServerSession present = sessions.ofId(session.id);
+            if (!waiting && present != null && present.at == session.at) {
+                // The late answer to an earlier attempt at the same server: to end that session would end the present one.
+                return;
+            }
             // Guards against sessions that are open for nobody: the answer came after the attempt was given up.
             session.stands = true;
             if (!waiting || !core.stood(session.call, session.copy, answer, List.of())) {
@@ -164,6 +169,13 @@
         }
     }
 
+    /** Diameter has no word by which a request is given up. */
+    @Override
+    public boolean outlivesCaller(long call) {
+        ServerSession session = sessions.ofCall(call);
+        return session != null && session.sent && session.on.isOpen();
+    }
+
     /**
      * Guards against a request that is sent on much later, when its peer takes bytes again: its client may have left. It
      * can't be taken back from its connection, nor those before it, but half a request is none.
--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -24,6 +24,7 @@
     private final List<Event> seen = new ArrayList<>();
     private Consumer<Action> module;
     private long calls;
+    private boolean outlivesCaller;
     private final CallControl broken = (now, event, out) -> {
         seen.add(event);
         module = out;
@@ -211,6 +212,41 @@
         assertThat(spent.size()).isEqualTo(1);
     }
 
+    @Test
+    void aDetachedCallIsAnsweredOnceItsCallerIsBack() {
+        outlivesCaller = true;
+        long c = call();
+        acts(new Attempt(c, "s1", 0));
+        assertThat(core.detach(c)).isTrue();
+        core.reattach(c);
+        assertThat(core.stood(c, 0, "desc", List.of())).isTrue();
+        assertThat(happened).containsExactly("set-up s1", "stands");
+    }
+
+    /** Guards servers against attempts for a caller that is lost. */
+    @Test
+    void noAttemptFollowsThatOfADetachedCall() {
+        outlivesCaller = true;
+        long c = call();
+        acts(new Attempt(c, "s1", 0));
+        core.detach(c);
+        core.ended(c, 0, State.QUEUE_FULL, 0, List.of());
+        acts(new Attempt(c, "s1", 0));
+        assertThat(happened).containsExactly("set-up s1", "failed");
+        assertThat(core.calls() + core.unanswered()).isZero();
+    }
+
+    @Test
+    void aDetachedCallDoesNotStandForNobody() {
+        outlivesCaller = true;
+        long c = call();
+        acts(new Attempt(c, "s1", 0));
+        core.detach(c);
+        assertThat(core.stood(c, 0, "desc", List.of())).isFalse();
+        assertThat(happened).containsExactly("set-up s1", "failed");
+        assertThat(core.calls() + core.unanswered()).isZero();
+    }
+
     @Test
     void oneAnswerWhateverTheModuleSaysAfterIt() {
         long c = call();
@@ -270,6 +306,11 @@
         happened.add("set-up " + server);
     }
 
+    @Override
+    public boolean outlivesCaller(long call) {
+        return outlivesCaller;
+    }
+
     @Override
     public void giveUp(long call, int copy, String server) {
         happened.add("give-up " + server);
--- a/src/test/java/grebewick/diameter/DiameterDialect.java
+++ b/src/test/java/grebewick/diameter/DiameterDialect.java
@@ -13,7 +13,7 @@
 
 /**
  * A peer's messages as text: {@code AAR s1}, {@code AAA s1 2001}, {@code DWR}. Answers go under the identifiers
- * of the last request of that kind and session; {@code e2e=N} sets a request's end-to-end id.
+ * of the last request of that kind and session, with {@code first=1} of the first one; {@code e2e=N} sets a request's end-to-end id.
  */
 public final class DiameterDialect implements Dialect {
     private static final Map<Integer, String> NAMES = Map.of(CAPABILITIES_EXCHANGE, "CE", AA, "AA", ABORT_SESSION, "AS",
@@ -50,8 +50,9 @@
         Identity me = new Identity(host, "realm", stateId);
         Map<String, String> o = Sites.options(w, session ? 2 : 1);
         if (w[0].endsWith("A")) {
+            String request = NAMES.get(command) + "R " + id;
             int result = w.length > (session ? 2 : 1) ? Integer.parseInt(w[session ? 2 : 1]) : SUCCESS;
-            return DiameterCodec.encode(asked.get(NAMES.get(command) + "R " + id).answer(me, result,
+            return DiameterCodec.encode(asked.get(o.containsKey("first") ? request + " first" : request).answer(me, result,
                 Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ), Avp.unsigned(Avp.ORIGIN_STATE_ID, stateId)));
         }
         List<Avp> avps = new ArrayList<>(me.origin());
@@ -102,6 +103,7 @@
         String line = name + (id.isEmpty() ? "" : " " + id);
         if (m.isRequest()) {
             asked.put(name + " " + id, m);
+            asked.putIfAbsent(name + " " + id + " first", m);
             return line + (m.mayBeRepeat() ? " T" : "");
         }
         Avp failed = m.find(Avp.FAILED_AVP);
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -533,6 +533,67 @@
             p1 < STR s""");
     }
 
+    /** Guards against a second request, and the end of the session that it opens, where the client's connection is lost under one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"e2e=7 flags=16", "e2e=8"})
+    void aClientThatIsBackIsAnsweredFromTheAttemptThatIsOut(String repeat) {
+        s.play("c > AAR s e2e=7\n p1 < AAR s\n c closes").until(() -> logged("client c OKAY -> DOWN"));
+        s.play("c > CER\n c < CEA 2001\n c > AAR s " + repeat + "\n c has no more").play("""
+            wait 600
+            p1 has no more
+            p2 has no more
+            p1 > AAA s 2001
+            c < AAA s 2001
+            p1 has no more
+            c > STR s
+            c < STA s 2001
+            p1 < STR s""");
+    }
+
+    /** Guards clients against being told of a session that has been ended: a repeat that comes too late is not sent on. */
+    @Test
+    void aClientThatIsBackTooLateIsNotToldOfASessionThatHasEnded() {
+        s.play("c > AAR s e2e=7\n p1 < AAR s\n c closes").until(() -> logged("client c OKAY -> DOWN")).play("""
+            p1 > AAA s 2001
+            p1 < STR s
+            p1 > STA s
+            c > CER
+            c < CEA 2001
+            c > AAR s e2e=7 flags=16
+            c < AAA s 3002 E
+            c > AAR s e2e=8
+            c < AAA s 3002 E
+            wait 1000
+            p1 has no more
+            p2 has no more""");
+    }
+
+    @Test
+    void noAttemptFollowsForAClientThatIsLost() {
+        s.play("c > AAR s\n p1 < AAR s\n c closes").until(() -> logged("client c OKAY -> DOWN"));
+        s.play("p1 > AAA s 3004").until(() -> node.calls() == 0).play("wait 1000\n p1 has no more\n p2 has no more");
+    }
+
+    /** Guards a session against its end by the late answer to an earlier attempt at the same server. */
+    @Test
+    void theLateAnswerToAnEarlierAttemptAtTheSameServerEndsNoSession() {
+        s.play("""
+            p2 > DPR
+            p2 < DPA 2001
+            c > AAR s
+            p1 < AAR s
+            wait 1301
+            wait 501
+            p1 < AAR s T
+            p1 > AAA s 2001
+            c < AAA s 2001
+            p1 > AAA s 2001 first=1
+            p1 has no more
+            c > STR s
+            c < STA s 2001
+            p1 < STR s""");
+    }
+
     @Test
     void aRequestAtAServerThatHasLostItsSessionsGoesToAnotherAtOnce() {
         s.play("""
