--- a/src/main/java/grebewick/diameter/AnsweredRequests.java
+++ b/src/main/java/grebewick/diameter/AnsweredRequests.java
@@ -7,7 +7,8 @@
 import java.util.Set;
 
 /**
- * Requests by their key, Origin-Host and End-to-End Identifier, so that a repeat is told from a new one (RFC 6733, section 3): those
+ * Requests by their key, Origin-Host and End-to-End Identifier, so that a repeat is told from a new one (RFC
+ * 6733, section 3): those
  * in hand, and the latest answers, in bounded memory.
  */
 final class AnsweredRequests {
--- a/src/main/java/grebewick/eventloop/PacedInput.java
+++ b/src/main/java/grebewick/eventloop/PacedInput.java
@@ -7,7 +7,8 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * The input of one connection, taken in slices with pauses between them: one that sends at full speed leaves the event loop to the
+ * The input of one connection, taken in slices with pauses between them: one that sends at full speed leaves
+ * the event loop to the
  * others. Its socket is read all the same, as that alone shows that the other side has left; what was read and not taken is
  * bounded, for each connection and for all together.
  */
--- a/src/main/java/grebewick/lab/hostile/ChallengesUnderTest.java
+++ b/src/main/java/grebewick/lab/hostile/ChallengesUnderTest.java
@@ -34,8 +34,8 @@
             .replace("127.0.0.1:3868", "127.0.0.1:" + GatekeeperProcess.freePort())
             .replace("127.0.0.1:3869", "127.0.0.1:" + GatekeeperProcess.freePort())
             .replace("127.0.0.1:3870", "127.0.0.1:" + GatekeeperProcess.freePort());
-        String acme = "\"acme\":{\"directory\":\"http://127.0.0.1:1/directory\",\"domain\":\"%s\",\"challenges\":\"127.0.0.1:%d\",\"folder\":\"%s\",\"agreed\":true},"
-            .formatted(DOMAIN, port, folder);
+        String acme = ("\"acme\":{\"directory\":\"http://127.0.0.1:1/directory\",\"domain\":\"%s\","
+            + "\"challenges\":\"127.0.0.1:%d\",\"folder\":\"%s\",\"agreed\":true},").formatted(DOMAIN, port, folder);
         Path file = folder.resolve("diameter.json");
         Files.writeString(file, json.replaceFirst("\\{", "{" + acme));
         return Map.of("RELAY_DIAMETER", file.toString());
--- a/src/main/java/grebewick/lab/hostile/HostilePlays.java
+++ b/src/main/java/grebewick/lab/hostile/HostilePlays.java
@@ -42,7 +42,7 @@
     @Option(names = "--most-mb", defaultValue = "192", description = "memory limit of the process, MB (${DEFAULT-VALUE})")
     private int mostMb;
 
-    @Option(names = "--most-wait-ms", defaultValue = "1000", description = "limit of 99 in 100 of the sound clients' waits, ms (${DEFAULT-VALUE})")
+    @Option(names = "--most-wait-ms", defaultValue = "1000", description = "limit of 99 in 100 waits, ms (${DEFAULT-VALUE})")
     private int mostWaitMs;
 
     @Parameters(arity = "0..*", description = "after --: the command that starts a gatekeeper")
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -338,7 +338,8 @@
     @Test
     void whoSendsNothingOfUseIsClosed() {
         s.play("d > INVITE 01 tier=b\n d < 400 INVITE 01\n".repeat(8) + "d sees the end");
-        String withdrawn = "d > INVITE ID\n s1 < set-up ID*\n d > CANCEL ID\n d < 200 CANCEL ID\n d < 487 INVITE ID\n s1 < release ID 16";
+        String withdrawn = "d > INVITE ID\n s1 < set-up ID*\n d > CANCEL ID\n d < 200 CANCEL ID\n "
+            + "d < 487 INVITE ID\n s1 < release ID 16";
         IntStream.range(11, 19).forEach(id -> s.play(withdrawn.replace("ID", "" + id)));
         s.play("d sees the end");
     }
--- a/src/test/java/grebewick/diameter/DiameterDialect.java
+++ b/src/test/java/grebewick/diameter/DiameterDialect.java
@@ -13,7 +13,8 @@
 
 /**
  * A peer's messages as text: {@code AAR s1}, {@code AAA s1 2001}, {@code DWR}. Answers go under the identifiers
- * of the last request of that kind and session, with {@code first=1} of the first one; {@code e2e=N} sets a request's end-to-end id.
+ * of the last request of that kind and session, with {@code first=1} of the first one; {@code e2e=N} sets a
+ * request's end-to-end id.
  */
 public final class DiameterDialect implements Dialect {
     private static final Map<Integer, String> NAMES = Map.of(CAPABILITIES_EXCHANGE, "CE", AA, "AA", ABORT_SESSION, "AS",
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -540,7 +540,7 @@
             p1 < STR s""");
     }
 
-    /** Guards against a second request, and the end of the session that it opens, where the client's connection is lost under one. */
+    /** Guards against a second request, and the end of its session, where the client's connection is lost under one. */
     @ParameterizedTest
     @ValueSource(strings = {"e2e=7 flags=16", "e2e=8"})
     void aClientThatIsBackIsAnsweredFromTheAttemptThatIsOut(String repeat) {
