--- a/review/src-2/review2/ForeignAbort.java
+++ b/review/src-2/review2/ForeignAbort.java
@@ -23,11 +23,11 @@
         site.second.losesAnswer = id -> trouble && isSpoilt(id) && !site.first.asked.contains(id) && count(site.second, id) == 1;
         DiaClient client = new DiaClient(kit, site.port);
         for (int i = 0; i < SESSIONS; i++) {
-            client.ask("front;1;" + i, i % 2 == 0 ? site.first.host : site.second.host);
+            client.ask("front.kozos-konyha.example;1;" + i, i % 2 == 0 ? site.first.host : site.second.host);
             Thread.sleep(500);
             // The client itself ends what no answer was lost of, after some 4 s.
-            if (i >= 8 && !isSpoilt("front;1;" + (i - 8))) {
-                client.end("front;1;" + (i - 8));
+            if (i >= 8 && !isSpoilt("front.kozos-konyha.example;1;" + (i - 8))) {
+                client.end("front.kozos-konyha.example;1;" + (i - 8));
             }
         }
         Thread.sleep(HOLD_MS + 12_000);
--- a/review/src-2/review2/IdleReset.java
+++ b/review/src-2/review2/IdleReset.java
@@ -18,7 +18,7 @@
         DiaSetting site = new DiaSetting(kit, HOLD_MS);
         DiaClient client = new DiaClient(kit, site.port);
         for (int i = 0; i < SESSIONS; i++) {
-            client.ask("front;1;" + i, i % 2 == 0 ? site.first.host : site.second.host);
+            client.ask("front.kozos-konyha.example;1;" + i, i % 2 == 0 ? site.first.host : site.second.host);
             Thread.sleep(400);
         }
         Thread.sleep(1_000);
--- a/review/src-2/review2/StalledTwice.java
+++ b/review/src-2/review2/StalledTwice.java
@@ -29,7 +29,7 @@
         };
         DiaClient client = new DiaClient(kit, site.port);
         for (int i = 0; i < SESSIONS; i++) {
-            client.ask("front;1;" + i, i % 2 == 0 ? site.first.host : site.second.host);
+            client.ask("front.kozos-konyha.example;1;" + i, i % 2 == 0 ? site.first.host : site.second.host);
             Thread.sleep(500);
         }
         Thread.sleep(10_000);
