--- a/review/src-2/review2/Names.java
+++ b/review/src-2/review2/Names.java
@@ -18,6 +18,13 @@
 
     final int port;
     final Map<String, Entry> list = new LinkedHashMap<>();
+    /** What becomes of an answer. */
+    enum Kind { GOOD, CUT, OLDER }
+
+    /** By the number of the question after the list, what its answer is; null: all are good. */
+    volatile java.util.function.IntFunction<Kind> kinds;
+    private int asked;
+    private Map<String, Entry> older = Map.of();
     /** It answers nobody. */
     volatile boolean down;
     volatile int serial = 1;
@@ -50,6 +57,7 @@
 
     /** An event: the list is another now. */
     synchronized void change(Runnable how) {
+        older = new LinkedHashMap<>(list);
         how.run();
         serial++;
         toldMs = -1;
@@ -68,7 +76,9 @@
         ByteArrayOutputStream more = new ByteArrayOutputStream();
         int nAnswers = 0;
         int nMore = 0;
-        for (Map.Entry<String, Entry> each : list.entrySet()) {
+        Kind kind = kinds == null || type != 33 ? Kind.GOOD : kinds.apply(asked++);
+        // Only the list's answers are spoilt; what is said of one server is as it is.
+        for (Map.Entry<String, Entry> each : (kind == Kind.OLDER ? older : list).entrySet()) {
             String target = each.getKey() + ".budapest.hosts.";
             Entry e = each.getValue();
             if (type == 33) {
@@ -102,22 +112,27 @@
         DataOutputStream out = new DataOutputStream(soa);
         name(out, "ns.fleet.local.");
         name(out, "admin.fleet.local.");
-        for (int figure : new int[] {serial, 1, 1, 1, 1}) {
+        for (int figure : new int[] {kind == Kind.OLDER ? serial - 1 : serial, 1, 1, 1, 1}) {
             out.writeInt(figure);
         }
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         DataOutputStream message = new DataOutputStream(all);
         message.write(query, 0, 2);
-        message.writeShort(0x8400);
+        message.writeShort(kind == Kind.CUT ? 0x8600 : 0x8400);
         message.writeShort(1);
         message.writeShort(nAnswers);
         message.writeShort(1);
-        message.writeShort(nMore);
+        message.writeShort(kind == Kind.CUT ? 0 : nMore);
         message.write(query, 12, questionEnd - 12);
         message.write(answers.toByteArray());
         record(all, "fleet.local.", 6, soa.toByteArray());
-        message.write(more.toByteArray());
-        if (type == 33 && toldMs < 0) {
+        if (kind != Kind.CUT) {
+            message.write(more.toByteArray());
+        }
+        if (kinds != null && type == 33) {
+            kit.say("names: answer " + kind);
+        }
+        if (type == 33 && kind == Kind.GOOD && toldMs < 0) {
             toldMs = kit.nowMs();
             kit.say("names: an answer with event " + serial + " goes out");
         }
