Diameter: a request that is given up is ended at its server before another one has it

Cause: an attempt that was given up was only forgotten. Nothing was written to its server, and nothing tied the call's next attempt to what became of the one before. The same with a connection that is lost under a request: the answer may be lost with it. Change: a request that is given up gets an STR (cause 2) on its own connection; the core holds the next attempt of the call back (Servers.isGiveUpUnheard, Gatekeeper.giveUpHeard) until the server has answered it, or a watchdog request written after it, or has lost the connection, and for the release time from then on. A request whose connection is lost is ended by STR on the next one; a session that is opened after its STR was answered is ended again. An attempt that is held has its server's whole time from when it leaves.

--- a/src/main/java/grebewick/core/CallState.java
+++ b/src/main/java/grebewick/core/CallState.java
@@ -24,6 +24,8 @@
     long stoodUs;
     /** No attempt may begin before: the server of the one before may still release it. */
     long notBeforeUs = Long.MIN_VALUE;
+    /** No attempt may leave before: the server of the one before has heard late that it was given up. */
+    long heldUntilUs = Long.MIN_VALUE;
 
     CallState(long id, Offer<P> offer, Callers<P> caller, long dropDeadUs) {
         this.id = id;
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -100,9 +100,13 @@
         }
         long leftUs = call.dropDeadUs - nowUs;
         long waitUs = chosen.patienceUs() == 0 ? leftUs : Math.min(chosen.patienceUs(), leftUs);
-        call.attempt = new OpenAttempt(call.id, copy, chosen.server(), nowUs, nowUs + waitUs);
-        pendingTimers.add(nowUs + waitUs, PendingTimers.Kind.END_OF_ATTEMPT, call.id, copy);
-        leaving.add(call.attempt);
+        call.attempt = new OpenAttempt(call.id, copy, chosen.server(), nowUs, waitUs);
+        pendingTimers.add(call.attempt.endUs, PendingTimers.Kind.END_OF_ATTEMPT, call.id, copy);
+        leaveAfterInput(call.attempt);
+    }
+
+    private void leaveAfterInput(OpenAttempt attempt) {
+        leaving.add(attempt);
         if (leaving.size() == 1) {
             timers.afterInput(() -> runOnce(this::leave));
         }
@@ -120,11 +124,53 @@
             }
             if (!rules.isHealthy(attempt.server)) {
                 end(call, State.IGNORED, 0, List.of());
-            } else if (nowUs < attempt.endUs) {
-                // Else its time ends within this run, and nothing has left.
-                attempt.left = true;
-                servers.setUp(call.id, attempt.copy, attempt.server, call.offer, attempt.endUs - nowUs);
+            } else if (servers.isGiveUpUnheard(call.id) || nowUs < call.heldUntilUs) {
+                hold(call);
+            } else {
+                send(call);
+            }
+        }
+    }
+
+    private void send(CallState<P> call) {
+        OpenAttempt attempt = call.attempt;
+        if (attempt.isHeld) {
+            attempt.resume(nowUs, call.dropDeadUs);
+            pendingTimers.add(attempt.endUs, PendingTimers.Kind.END_OF_ATTEMPT, call.id, attempt.copy);
+        }
+        // Else its time ends within this run, and nothing has left.
+        if (nowUs < attempt.endUs) {
+            attempt.left = true;
+            servers.setUp(call.id, attempt.copy, attempt.server, call.offer, attempt.endUs - nowUs);
+        }
+    }
+
+    /** Guards against two servers that have a call at once: the earlier one may not have heard yet that it is given up there. */
+    private void hold(CallState<P> call) {
+        call.attempt.hold(call.dropDeadUs);
+        pendingTimers.add(call.dropDeadUs, PendingTimers.Kind.END_OF_ATTEMPT, call.id, call.attempt.copy);
+        if (!servers.isGiveUpUnheard(call.id)) {
+            pendingTimers.add(call.heldUntilUs, PendingTimers.Kind.HELD_ATTEMPT, call.id, call.attempt.copy);
+        }
+    }
+
+    /** The server of an attempt that was given up has heard so, or has lost its connection: its release time begins now. */
+    public void giveUpHeard(long id) {
+        runOnce(() -> {
+            CallState<P> call = calls.find(id);
+            if (call != null) {
+                call.heldUntilUs = nowUs + set.familyInfo().releaseUs();
+                if (call.attempt != null && call.attempt.isHeld) {
+                    hold(call);
+                }
             }
+        });
+    }
+
+    private void endHold(long id, long copy) {
+        CallState<P> call = calls.find(id);
+        if (call != null && call.attempt != null && call.attempt.copy == copy && call.attempt.isHeld) {
+            leaveAfterInput(call.attempt);
         }
     }
 
@@ -438,6 +484,7 @@
     private void due(PendingTimers.Timer timer) {
         switch (timer.kind()) {
             case REMINDER -> events.add(new Due(timer.number()));
+            case HELD_ATTEMPT -> endHold(timer.call(), timer.number());
             case END_OF_ATTEMPT -> endAttempt(timer.call(), timer.number());
             case END_OF_CALL -> endCall(timer.call());
             case INTERRUPTED_CALLS -> {
@@ -449,7 +496,7 @@
 
     private void endAttempt(long id, long copy) {
         CallState<P> call = calls.find(id);
-        if (call != null && call.attempt != null && call.attempt.copy == copy) {
+        if (call != null && call.attempt != null && call.attempt.copy == copy && nowUs >= call.attempt.endUs) {
             timeOut(call);
         }
     }
@@ -471,7 +518,8 @@
     }
 
     private void timeOut(CallState<P> call) {
-        giveUp(call, State.TIMED_OUT);
+        // One that was held back says nothing of the server that it was to go to.
+        giveUp(call, call.attempt.isHeld ? State.CANCELED : State.TIMED_OUT);
         events.deliver(nowUs);
     }
 
--- a/src/main/java/grebewick/core/OpenAttempt.java
+++ b/src/main/java/grebewick/core/OpenAttempt.java
@@ -6,17 +6,36 @@
     /** Its number among the attempts of its call, from 0. */
     final int copy;
     final String server;
-    final long chosenUs;
+    /** For how long its server may take. */
+    private final long patienceUs;
+    /** From when its server's time counts. */
+    long chosenUs;
     /** When it is given up. */
-    final long endUs;
+    long endUs;
+    /** It is held back until the attempt before it is over at its server. */
+    boolean isHeld;
     /** The servers' side has it. */
     boolean left;
 
-    OpenAttempt(long call, int copy, String server, long chosenUs, long endUs) {
+    OpenAttempt(long call, int copy, String server, long chosenUs, long patienceUs) {
         this.call = call;
         this.copy = copy;
         this.server = server;
+        this.patienceUs = patienceUs;
         this.chosenUs = chosenUs;
-        this.endUs = endUs;
+        endUs = chosenUs + patienceUs;
+    }
+
+    /** It is not to leave yet; {@code callEndUs}: when its call has its answer whatever happens. */
+    void hold(long callEndUs) {
+        isHeld = true;
+        endUs = callEndUs;
+    }
+
+    /** It may leave: its server's time begins only now. */
+    void resume(long nowUs, long callEndUs) {
+        isHeld = false;
+        chosenUs = nowUs;
+        endUs = Math.min(nowUs + patienceUs, callEndUs);
     }
 }
--- a/src/main/java/grebewick/core/Servers.java
+++ b/src/main/java/grebewick/core/Servers.java
@@ -8,6 +8,14 @@
     /** Give up a set-up that is out; what it may still bring is to be released. */
     void giveUp(long call, int copy, String server);
 
+    /**
+     * Whether a server may not have heard yet that an earlier attempt of the call was given up. Once it has, the core is told by
+     * {@link Gatekeeper#giveUpHeard}; until then no other attempt of the call is sent.
+     */
+    default boolean isGiveUpUnheard(long call) {
+        return false;
+    }
+
     /** Whether the set-up of a call is at its server, and nothing can give it up there: it runs although its caller is lost. */
     default boolean outlivesCaller(long call) {
         return false;
--- a/src/main/java/grebewick/diameter/Connection.java
+++ b/src/main/java/grebewick/diameter/Connection.java
@@ -189,9 +189,14 @@
     }
 
     void sendWatchdog() {
+        sendWatchdog(answer -> {});
+    }
+
+    /** The handler gets the answer, or null if none can come. */
+    void sendWatchdog(Consumer<DiameterMessage> onAnswer) {
         List<Avp> avps = new ArrayList<>(me.origin());
         avps.add(Avp.unsigned(Avp.ORIGIN_STATE_ID, me.stateId()));
-        request(own(DEVICE_WATCHDOG, avps), answer -> {});
+        request(own(DEVICE_WATCHDOG, avps), onAnswer);
     }
 
     /** Says that this node goes (cause REBOOTING) and closes once the peer has answered. */
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -33,6 +33,7 @@
     private final Map<String, ServerPeer> peers = new TreeMap<>();
     private final ServerSessions sessions = new ServerSessions();
     private final SessionTeardowns teardowns;
+    private final UnheardGiveUps giveUps;
     private final SilenceMonitor<ServerPeer> silence = new SilenceMonitor<>(LeaseTimes.DEFAULT);
     private final Identity me;
     private Gatekeeper<DiameterMessage> core;
@@ -42,7 +43,8 @@
         this.clock = clock;
         this.timers = timers;
         this.log = log;
-        teardowns = new SessionTeardowns(me, clock, timers, new EventLog(log, clock));
+        teardowns = new SessionTeardowns(me, clock, timers, new EventLog(log, clock), this::heard);
+        giveUps = new UnheardGiveUps(timers, teardowns::isTold, call -> core.giveUpHeard(call));
         NetClient client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, config.settings().bounds().connectTimeoutUs() / 1000)));
         for (DiameterConfig.Peer peer : config.peers()) {
@@ -107,12 +109,13 @@
         int flags = asked.flags() | (copy > 0 ? RETRANSMITTED : 0);
         session.on = to.connection();
         session.on.request(asked.with(flags, 0, avps), answer -> answered(session, answer), () -> session.sent = true);
+        session.isAsked = true;
     }
 
     private void answered(ServerSession session, DiameterMessage answer) {
         if (answer == null) {
             if (sessions.remove(session)) {
-                core.ended(session.call, session.copy, State.RESET_BY_PEER, 0, List.of());
+                lostUnanswered(session);
             }
             return;
         }
@@ -122,19 +125,25 @@
             ServerSession present = sessions.ofId(session.id);
             if (!waiting && present != null && present.at == session.at) {
                 // The late answer to an earlier attempt at the same server: to end that session would end the present one.
+                present.isOpenedByEarlierRequest = true;
                 return;
             }
             // Guards against sessions that are open for nobody: the answer came after the attempt was given up.
             session.stands = true;
             if (!waiting || !core.stood(session.call, session.copy, answer, List.of())) {
                 sessions.remove(session);
-                teardowns.terminate(session, Cause.ADMINISTRATIVE);
+                teardowns.terminateOpened(session, Cause.ADMINISTRATIVE);
+            } else if (session.copy > 0) {
+                teardowns.forget(session);
             }
             return;
         }
         if (!waiting) {
             return;
         }
+        if (session.isOpenedByEarlierRequest) {
+            teardowns.terminate(session, Cause.ADMINISTRATIVE);
+        }
         State state = state(result);
         if (state != null) {
             sessions.remove(session);
@@ -147,6 +156,14 @@
         }
     }
 
+    /** Its connection is lost: its server may have opened the session, and its answer may be lost with the connection. */
+    private void lostUnanswered(ServerSession session) {
+        if (session.isAsked) {
+            teardowns.terminate(session, Cause.SERVICE_NOT_PROVIDED);
+        }
+        core.ended(session.call, session.copy, State.RESET_BY_PEER, 0, List.of());
+    }
+
     /** How an answer without a session ends the attempt; null where it is the server's own decision. */
     private static State state(long result) {
         return switch ((int) result) {
@@ -162,6 +179,7 @@
         ServerSession session = sessions.ofCall(call);
         if (session != null) {
             sessions.remove(session);
+            tellGivenUp(session);
             if (!session.sent) {
                 // What is written while the same connection is read leaves when all of that is read.
                 timers.afterInput(() -> takeBack(session));
@@ -169,7 +187,24 @@
         }
     }
 
-    /** Diameter has no word by which a request is given up. */
+    /** Its server is to end what the request has opened or is yet to open, and no other server has it before that is heard. */
+    private void tellGivenUp(ServerSession session) {
+        if (session.on.isOpen()) {
+            giveUps.add(session);
+        }
+        teardowns.terminate(session, Cause.SERVICE_NOT_PROVIDED);
+    }
+
+    private void heard(ServerSession session) {
+        giveUps.answered(session);
+    }
+
+    @Override
+    public boolean isGiveUpUnheard(long call) {
+        return giveUps.has(call);
+    }
+
+    /** A request that is out may be answered yet, and its client may come back for the answer. */
     @Override
     public boolean outlivesCaller(long call) {
         ServerSession session = sessions.ofCall(call);
@@ -234,6 +269,7 @@
     @Override
     public void closed(ServerPeer peer, Connection on) {
         teardowns.lost(on);
+        giveUps.lost(on);
         tell(Scope.COMPLETE, Map.of());
         long silentUs = clock.nowUs() - peer.heardUs();
         timers.after(Math.max(1, LeaseTimes.DEFAULT.leaseUs() - silentUs), () -> lose(peer));
@@ -254,8 +290,14 @@
         List<ServerSession> lost = sessions.removeAllAt(peer);
         teardowns.forgetAllAt(peer);
         tell(Scope.COMPLETE, Map.of(peer.host(), peer.startedAtUs()));
-        // Those that were asked for; the open ones are over with the news.
-        lost.forEach(session -> core.ended(session.call, session.copy, State.RESET_BY_PEER, 0, List.of()));
+        for (ServerSession session : lost) {
+            if (!session.stands && session.on.isOpen()) {
+                // It was asked for on the connection that is still there, and may yet be opened.
+                tellGivenUp(session);
+            }
+            // The open ones are over with the news.
+            core.ended(session.call, session.copy, State.RESET_BY_PEER, 0, List.of());
+        }
     }
 
     @Override
--- a/src/main/java/grebewick/diameter/ServerPeer.java
+++ b/src/main/java/grebewick/diameter/ServerPeer.java
@@ -45,6 +45,8 @@
     private Connection connection;
     private boolean draining;
     private boolean stopping;
+    /** This side has closed the connection, and the peer's sessions need another one. */
+    private boolean isCutOff;
     private long startedAtUs;
     private long heardUs;
     /** Its largest Origin-State-Id so far; 0: it has told none. */
@@ -88,6 +90,13 @@
         }
     }
 
+    /** Closes its connection with what it has not taken of it; another one follows at once. */
+    void cutOff(String why) {
+        log.accept("diameter: closed the connection to " + peer.host() + ": " + why);
+        isCutOff = true;
+        connection.abort();
+    }
+
     /** us. When it last said anything. */
     long heardUs() {
         return heardUs;
@@ -174,7 +183,8 @@
         watchdog.down();
         draining = true;
         listener.closed(this, c);
-        timers.after(config.reconnectUs(), this::connect);
+        timers.after(isCutOff ? 0 : config.reconnectUs(), this::connect);
+        isCutOff = false;
     }
 
     @Override
--- a/src/main/java/grebewick/diameter/ServerSession.java
+++ b/src/main/java/grebewick/diameter/ServerSession.java
@@ -10,10 +10,14 @@
     final String id;
     /** Where its request was written. */
     Connection on;
+    /** Its request was handed to that connection. */
+    boolean isAsked;
     /** The network has its request. */
     boolean sent;
     /** It is open: its server has said so. */
     boolean stands;
+    /** An earlier request for it, given up since, has opened it at this server: an answer without success leaves it open. */
+    boolean isOpenedByEarlierRequest;
 
     ServerSession(long call, int copy, ServerPeer at, String id) {
         this.call = call;
@@ -21,4 +25,9 @@
         this.at = at;
         this.id = id;
     }
+
+    /** Whether another request was for the same session at the same server. */
+    boolean isSameAs(ServerSession other) {
+        return at == other.at && id.equals(other.id);
+    }
 }
--- a/src/main/java/grebewick/diameter/SessionTeardowns.java
+++ b/src/main/java/grebewick/diameter/SessionTeardowns.java
@@ -11,13 +11,19 @@
 import grebewick.teardown.TeardownRoutes;
 import grebewick.teardown.TeardownSender;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
 
 /** Ends of sessions that servers are to be told, each its own server alone, by STR (RFC 6733, section 8.4.1). */
 final class SessionTeardowns {
     /** Why a session ends: values of Termination-Cause (RFC 6733, section 8.15). */
     enum Cause {
-        LOGOUT(1), ADMINISTRATIVE(4);
+        /** The client has ended it. */
+        LOGOUT(1),
+        /** Its request was given up before its answer came. */
+        SERVICE_NOT_PROVIDED(2), ADMINISTRATIVE(4);
 
         private final int code;
 
@@ -37,12 +43,17 @@
 
     private final Identity me;
     private final EventLog eventLog;
-    private final TeardownSender<EndedSession, DiameterMessage, Connection> teardowns;
+    private final TeardownSender<ServerSession, DiameterMessage, Connection> teardowns;
+    private final Consumer<ServerSession> answered;
+    /** Ends that a server may have heard of before it opened the session: they are to be told again. */
+    private final Set<ServerSession> openedSince = new HashSet<>();
     private int nextEndToEnd;
 
-    SessionTeardowns(Identity me, Clock clock, Timers timers, EventLog eventLog) {
+    /** {@code answered} is told of each session whose server has answered its STR. */
+    SessionTeardowns(Identity me, Clock clock, Timers timers, EventLog eventLog, Consumer<ServerSession> answered) {
         this.me = me;
         this.eventLog = eventLog;
+        this.answered = answered;
         nextEndToEnd = (int) clock.nowUs();
         teardowns = new TeardownSender<>(POLICY, new ToPeers(), clock, timers, SWEEP_US);
     }
@@ -56,6 +67,26 @@
         return teardowns.counts().unsent() + teardowns.counts().spent();
     }
 
+    /** Whether the STR of a session has left, as far as it is to be told at all. */
+    boolean isTold(ServerSession session) {
+        return !teardowns.isUnwritten(session);
+    }
+
+    /** The session stands at its server: what is left to tell of an earlier request for it would end it. */
+    void forget(ServerSession session) {
+        openedSince.removeIf(session::isSameAs);
+        teardowns.forgetIf(session::isSameAs);
+    }
+
+    /** Ends a session that its server has opened though it may have heard of its end before. */
+    void terminateOpened(ServerSession session, Cause cause) {
+        if (teardowns.owes(session)) {
+            openedSince.add(session);
+        } else {
+            terminate(session, cause);
+        }
+    }
+
     /** Ends a session at its server, now or once the server is back. */
     void terminate(ServerSession session, Cause cause) {
         List<Avp> avps = new ArrayList<>();
@@ -65,7 +96,7 @@
         avps.add(Avp.text(Avp.DESTINATION_HOST, session.at.host()));
         avps.add(Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ));
         avps.add(Avp.unsigned(Avp.TERMINATION_CAUSE, cause.code));
-        teardowns.owe(new EndedSession(session.at, session.id),
+        teardowns.owe(session,
             new DiameterMessage(REQUEST | PROXIABLE, SESSION_TERMINATION, NASREQ, 0, nextEndToEnd++, avps), null);
     }
 
@@ -81,16 +112,23 @@
 
     /** A server has lost its sessions: there is nothing left to end. */
     void forgetAllAt(ServerPeer server) {
+        openedSince.removeIf(ended -> ended.at == server);
         teardowns.forgetIf(ended -> ended.at == server);
     }
 
-    /** The end of one session at one server. */
-    private record EndedSession(ServerPeer at, String id) {}
+    /** A server has answered an STR: whatever it says, it has no such session now. */
+    private void answered(ServerSession session, DiameterMessage answer) {
+        teardowns.told(session);
+        answered.accept(session);
+        if (openedSince.remove(session) && answer.result() != SUCCESS) {
+            terminate(session, Cause.ADMINISTRATIVE);
+        }
+    }
 
     /** A session's end is told to its own server alone. */
-    private final class ToPeers implements TeardownRoutes<EndedSession, DiameterMessage, Connection> {
+    private final class ToPeers implements TeardownRoutes<ServerSession, DiameterMessage, Connection> {
         @Override
-        public Connection best(EndedSession key, Connection but) {
+        public Connection best(ServerSession key, Connection but) {
             return key.at.isOpen() && key.at.connection() != but ? key.at.connection() : null;
         }
 
@@ -100,17 +138,18 @@
         }
 
         @Override
-        public void write(EndedSession key, DiameterMessage str, Connection way, boolean again) {
+        public void write(ServerSession key, DiameterMessage str, Connection way, boolean again) {
             // Its answer settles it, whatever it says: a session that is not known is ended too.
             way.request(again ? str.with(str.flags() | RETRANSMITTED, 0, str.avps()) : str, answer -> {
                 if (answer != null) {
-                    teardowns.told(key);
+                    answered(key, answer);
                 }
             });
         }
 
         @Override
-        public void abandoned(EndedSession key, Abandonment why, int tries) {
+        public void abandoned(ServerSession key, Abandonment why, int tries) {
+            openedSince.remove(key);
             eventLog.write(Event.TEARDOWN_ABANDONED,
                 () -> "session=" + key.id + " reason=" + why + " tries=" + tries + " server=" + key.at.host());
         }
--- a/src/main/java/grebewick/teardown/PendingTeardowns.java
+++ b/src/main/java/grebewick/teardown/PendingTeardowns.java
@@ -118,6 +118,17 @@
         return true;
     }
 
+    /** Whether an end was entered and is neither confirmed nor forgotten. */
+    public boolean owes(K key) {
+        return all.containsKey(key);
+    }
+
+    /** Whether an end is entered and was not written since it was entered. */
+    public boolean isUnwritten(K key) {
+        Entry<K, M, W> e = all.get(key);
+        return e != null && e.tries == 0;
+    }
+
     /** Who listens at {@code by} does not know the call: another one is told, if it was told there last. */
     public void denied(K key, W by) {
         Entry<K, M, W> e = all.get(key);
--- a/src/main/java/grebewick/teardown/TeardownSender.java
+++ b/src/main/java/grebewick/teardown/TeardownSender.java
@@ -45,6 +45,14 @@
         return pending.told(key);
     }
 
+    public boolean owes(K key) {
+        return pending.owes(key);
+    }
+
+    public boolean isUnwritten(K key) {
+        return pending.isUnwritten(key);
+    }
+
     public void denied(K key, W by) {
         pending.denied(key, by);
         tell();
--- a/src/test/java/grebewick/core/GatekeeperTest.java
+++ b/src/test/java/grebewick/core/GatekeeperTest.java
@@ -25,6 +25,7 @@
     private Consumer<Action> module;
     private long calls;
     private boolean outlivesCaller;
+    private boolean giveUpUnheard;
     private final CallControl broken = (now, event, out) -> {
         seen.add(event);
         module = out;
@@ -247,6 +248,71 @@
         assertThat(core.calls() + core.unanswered()).isZero();
     }
 
+    private void giveUpIsHeard(long call) {
+        giveUpUnheard = false;
+        core.giveUpHeard(call);
+    }
+
+    /** Guards against a call that is out at two servers, and the release time, where a server hears late that it is given up. */
+    @Test
+    void noAttemptLeavesBeforeTheGiveUpOfTheOneBeforeIsHeard() {
+        long c = call();
+        acts(new Attempt(c, "s1", 100_000));
+        giveUpUnheard = true;
+        clock.pass(600_000);
+        acts(new Attempt(c, "s1", 100_000));
+        clock.pass(400_000);
+        assertThat(happened).containsExactly("set-up s1", "give-up s1");
+        giveUpIsHeard(c);
+        clock.pass(499_999);
+        assertThat(happened).hasSize(2);
+        clock.pass(1);
+        assertThat(happened).containsExactly("set-up s1", "give-up s1", "set-up s1");
+        clock.pass(99_999);
+        assertThat(happened).as("its time begins as it leaves").hasSize(3);
+        clock.pass(1);
+        assertThat(happened).hasSize(4).endsWith("give-up s1");
+    }
+
+    /** Guards the one answer in time, and servers against blame for what has never come to them. */
+    @Test
+    void aCallWhoseAttemptIsHeldBackIsAnsweredInTimeAndBlamesNoServer() {
+        long c = call();
+        acts(new Attempt(c, "s1", 100_000));
+        giveUpUnheard = true;
+        clock.pass(600_000);
+        acts(new Attempt(c, "s1", 100_000));
+        clock.pass(2_400_000);
+        assertThat(happened).containsExactly("set-up s1", "give-up s1", "failed");
+        assertThat(seen.stream().filter(e -> e instanceof Result r && r.copy() == 1).map(e -> ((Result) e).state()))
+            .containsExactly(State.CANCELED);
+        giveUpIsHeard(c);
+        clock.pass(1_000_000);
+        assertThat(happened).hasSize(3);
+        assertThat(core.calls() + core.unanswered()).isZero();
+    }
+
+    /** Guards against set-ups for a caller that has left, and to a server that drains, while they are held back. */
+    @Test
+    void whatIsHeldBackIsNotSentForACallerThatHasLeftNorToAServerThatDrains() {
+        long left = call();
+        long drained = offer(++calls);
+        for (long c : new long[] {left, drained}) {
+            acts(new Attempt(c, "s1", 100_000));
+        }
+        giveUpUnheard = true;
+        clock.pass(600_000);
+        for (long c : new long[] {left, drained}) {
+            acts(new Attempt(c, "s1", 100_000));
+        }
+        core.hangup(left);
+        core.fleet(new Fleet(Scope.COMPLETE, 2, List.of(Sites.entry("s1", 0, Stage.DRAINING, 0))), Map.of());
+        giveUpIsHeard(left);
+        giveUpIsHeard(drained);
+        clock.pass(600_000);
+        assertThat(happened).containsExactly("set-up s1", "set-up s1", "give-up s1", "give-up s1");
+    }
+
     @Test
     void oneAnswerWhateverTheModuleSaysAfterIt() {
         long c = call();
@@ -306,6 +372,11 @@
         happened.add("set-up " + server);
     }
 
+    @Override
+    public boolean isGiveUpUnheard(long call) {
+        return giveUpUnheard;
+    }
+
     @Override
     public boolean outlivesCaller(long call) {
         return outlivesCaller;
