Diameter: an ASR of a server where a session does not stand ends it nowhere else

Cause: an ASR was looked up by Session-Id alone, whichever server sent it. Change: one from another server than the session's is answered and ends nothing.

--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -250,6 +250,11 @@
     @Override
     public void aborts(ServerPeer peer, Connection on, DiameterMessage m) {
         ServerSession session = sessions.ofId(m.need(Avp.SESSION_ID).text());
+        if (session != null && session.at != peer) {
+            // What an earlier request has left there ends; the session stands elsewhere.
+            on.send(m.answer(me, SUCCESS));
+            return;
+        }
         if (session == null) {
             on.send(m.answer(me, DiameterException.UNKNOWN_SESSION_ID));
             return;
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -323,6 +323,30 @@
             p1 > STA s\s""" + ends).until(() -> node.pendingTeardowns() == 0);
     }
 
+    /** Guards a session against its end by what an earlier request for it has left at another server. */
+    @Test
+    void anAsrOfAServerWhereTheSessionDoesNotStandEndsNone() {
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            wait 1301
+            p1 < STR s
+            p1 > STA s 5002
+            p1 has no more
+            wait 501
+            p2 < AAR s T
+            p2 > AAA s 2001
+            c < AAA s 2001
+            p1 > ASR s
+            p1 < ASA s 2001
+            p1 has no more
+            p2 has no more
+            c has no more
+            c > STR s
+            c < STA s 2001
+            p2 < STR s""");
+    }
+
     /** Guards a server against a session that an earlier request has opened there, where the present one is refused. */
     @Test
     void aSessionThatAnEarlierRequestHasOpenedIsEndedWhereTheLaterOneIsRefused() {
