Diameter: sessions from before a restart are ended for both sides

Cause: who has a session was known to the process that set it up alone. Change: what a new process needs is taken from the message. The Session-Id names its client, which is told of an ASR, now or as it is back within 60 s; the server is answered once the client has heard, so that a process that is killed in between leaves it unanswered. An STR goes to the server that it names, and to the others if that does not have it, also to those that come back later; the client is answered by what they say, after 9 s (request_ms) at the latest. Ends of unknown sessions have a budget, 4,096 at once and 256 a second, and no client ends another's. A request that its client repeats after a start ends what the former process may have opened elsewhere. A process that goes takes leave of its servers before its clients, so that what comes meanwhile is passed on; an STR whose server is gone by then is refused, not confirmed. ClientTeardowns is taken out of DiameterFront.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -30,6 +30,8 @@
     private static final long STILL_COMING_US = 700_000;
     /** us. A planned restart waits for the longest deadline, counted as this where it is longer. */
     private static final long LONGEST_US = 3_000_000;
+    /** us. In which peers have to take leave at the end. */
+    private static final long MOST_LEAVE_US = 400_000;
 
     /** Connections that may be accepted and not yet looked at, beside those that the front holds. */
     static final int UNSEEN = 32;
@@ -135,9 +137,9 @@
                 if (node != null) {
                     node.refuseCalls();
                 }
-                new GracefulShutdown(clock, timers, toldUs + STILL_COMING_US + Math.min(longestUs, LONGEST_US), this::pendingWork,
-                    this::activity,
-                    Daemon::log, this::lastWords, this::leave).start();
+                long endUs = toldUs + STILL_COMING_US + Math.min(longestUs, LONGEST_US);
+                new GracefulShutdown(clock, timers, endUs, this::pendingWork, this::activity, Daemon::log, this::lastWords,
+                    () -> leave(endUs)).start();
             });
         });
         try {
@@ -159,11 +161,12 @@
         }
     }
 
-    private void leave() {
-        if (diameter != null) {
-            diameter.leave();
+    private void leave(long endUs) {
+        if (diameter == null) {
+            ended.countDown();
+        } else {
+            diameter.leave(Math.max(0, Math.min(MOST_LEAVE_US, endUs - clock.nowUs())), ended::countDown);
         }
-        ended.countDown();
     }
 
     private PendingWork pendingWork() {
@@ -172,7 +175,8 @@
     }
 
     private ActivityCount activity() {
-        return node == null ? ActivityCount.NONE : node.activity();
+        return (node == null ? ActivityCount.NONE : node.activity())
+            .and(diameter == null ? ActivityCount.NONE : diameter.activity());
     }
 
     private static long longestUs(Settings settings) {
--- a/src/main/java/grebewick/diameter/Connection.java
+++ b/src/main/java/grebewick/diameter/Connection.java
@@ -201,9 +201,14 @@
 
     /** Says that this node goes (cause REBOOTING) and closes once the peer has answered. */
     void disconnect() {
+        announceLeave(socket::close);
+    }
+
+    /** Says that this node goes; {@code answered} is run once the peer has answered, or can't any more. */
+    void announceLeave(Runnable answered) {
         List<Avp> avps = new ArrayList<>(me.origin());
         avps.add(Avp.unsigned(Avp.DISCONNECT_CAUSE, 0));
-        request(own(DISCONNECT_PEER, avps), answer -> socket.close());
+        request(own(DISCONNECT_PEER, avps), answer -> answered.run());
     }
 
     private DiameterMessage own(int command, List<Avp> avps) {
--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -7,14 +7,10 @@
 import grebewick.core.Clock;
 import grebewick.core.Ending;
 import grebewick.core.EventLog;
-import grebewick.core.EventLog.Event;
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Timers;
-import grebewick.teardown.Abandonment;
-import grebewick.teardown.RetryPolicy;
-import grebewick.teardown.TeardownRoutes;
-import grebewick.teardown.TeardownSender;
+import grebewick.core.TokenBucket;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -26,6 +22,8 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.function.LongPredicate;
 
 /** The clients' side over Diameter: sessions from AAR to STR or ASR (NASREQ, RFC 7155). */
 final class DiameterFront implements Connection.Owner {
@@ -39,8 +37,9 @@
     private static final int BACKLOG_HEAP_PART = 8;
     /** Copies of a request that are held until its answer: as it came, and as it was sent on. */
     private static final int COPIES = 2;
-    private static final int MAX_TEARDOWNS = 10_000;
-    private static final long SWEEP_US = 1_000_000;
+    /** Ends of sessions that nobody here knows: so many at once, and in a second. Each goes to all servers. */
+    private static final int UNKNOWN_ENDS = 4_096;
+    private static final int UNKNOWN_ENDS_A_S = 256;
     /** us. What a refused client is told where the module gives no advice. */
     private static final long COME_BACK_US = 1_000_000;
     /** AVPs that this node understands; another one with the M bit can't be passed over. */
@@ -57,24 +56,27 @@
     private final Clock clock;
     private final Timers timers;
     private final Consumer<String> log;
-    private final EventLog eventLog;
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Map<Connection, Watchdog> watchdogs = new HashMap<>();
     private final Map<String, Session> sessions = new HashMap<>();
     /** Sessions that wait for their answer, by the connection that it goes to. */
     private final Map<Connection, Set<Session>> waiting = new HashMap<>();
-    /** By client: ends of sessions that it has not confirmed yet. */
-    private final Map<String, Integer> endsUntold = new HashMap<>();
+    private final EndedSessions ended = new EndedSessions();
     private final Set<Connection> askedToLeave = new HashSet<>();
     private final AnsweredRequests repeats = new AnsweredRequests();
     /** Of requests that wait for their answer. */
     private final ByteBudget budget = ByteBudget.ofHeap(BUDGET_HEAP_PART);
     /** Of what was read and waits for its slice. */
     private final ByteBudget backlog = ByteBudget.ofHeap(BACKLOG_HEAP_PART);
-    /** ASRs, by session: each goes to its own client, and waits for it for as long as the session is remembered. */
-    private final TeardownSender<Session, DiameterMessage, Connection> teardowns;
-    private int nextEndToEnd;
+    private final ClientTeardowns teardowns;
+    private final TokenBucket unknownEnds = new TokenBucket(UNKNOWN_ENDS, UNKNOWN_ENDS_A_S);
+    private final Map<Connection, TokenBucket> unknownEndsOf = new HashMap<>();
+    private FormerSessionServers formerSessionServers = (id, server, result) -> result
+        .accept(DiameterException.UNKNOWN_SESSION_ID);
+    private LongPredicate canRelease = call -> true;
     private boolean stopping;
+    private boolean serversHaveLeft;
+    private long taken;
 
     DiameterFront(DiameterConfig config, Identity me, Gatekeeper<DiameterMessage> core, Clock clock, Timers timers,
                   Consumer<String> log) {
@@ -84,12 +86,8 @@
         this.clock = clock;
         this.timers = timers;
         this.log = log;
-        eventLog = new EventLog(log, clock);
-        this.nextEndToEnd = (int) (clock.nowUs() >> 4);
-        long keptUs = config.requestUs();
-        teardowns = new TeardownSender<>(new RetryPolicy(keptUs, 1, keptUs, keptUs, MAX_TEARDOWNS), new ToClients(), clock,
-            timers, SWEEP_US);
-        teardowns.start();
+        teardowns = new ClientTeardowns(me, connections, config.requestUs(), clock, timers, new EventLog(log, clock),
+            this::askAllToLeave);
         timers.after(LOOK_US, this::look);
     }
 
@@ -105,7 +103,7 @@
 
     /** Sessions whose ends their clients are still to be told. */
     int pendingTeardowns() {
-        return teardowns.counts().unsent() + teardowns.counts().spent();
+        return teardowns.pending();
     }
 
     void accept(NetSocket socket) {
@@ -113,24 +111,45 @@
             .add(new Connection(socket, me, false, clock, timers, Math.min(WORD_US, config.watchdogUs()), this, backlog, log));
     }
 
-    /** New sessions are refused, and each client is asked to go once it has what it waits for. */
+    /**
+     * New sessions are refused, and each client is asked to go once it has what it waits for. One with open sessions may yet be
+     * told of their ends, and is asked when the servers have left.
+     */
     void stop() {
         stopping = true;
+        askAllToLeave();
+    }
+
+    /** No server says anything new: all clients are asked to go. */
+    void leave() {
+        serversHaveLeft = true;
+        stop();
+    }
+
+    /** Whether any client is connected. */
+    boolean hasClients() {
+        return !connections.isEmpty();
+    }
+
+    /** Requests from clients since the start. */
+    long taken() {
+        return taken;
+    }
+
+    private void askAllToLeave() {
         List.copyOf(connections).forEach(this::askToLeave);
     }
 
     /** What a client has asked for is lost with its connection: the DPR comes after the last answer and the last end. */
     private void askToLeave(Connection c) {
-        if (stopping && c.isOpen() && !waiting.containsKey(c) && !endsUntold.containsKey(c.peer()) && askedToLeave.add(c)) {
+        if (stopping && c.isOpen() && !waiting.containsKey(c) && !teardowns.owes(c.peer())
+            && (serversHaveLeft || !hasOpenSession(c.peer())) && askedToLeave.add(c)) {
             c.disconnect();
         }
     }
 
-    private void endIsTold(Session s) {
-        endsUntold.computeIfPresent(s.on.peer(), (client, ends) -> ends > 1 ? ends - 1 : null);
-        for (Connection c : List.copyOf(connections)) {
-            askToLeave(c);
-        }
+    private boolean hasOpenSession(String client) {
+        return sessions.values().stream().anyMatch(s -> s.answered && !s.aborted && s.client.equals(client));
     }
 
     // ---- connections
@@ -161,7 +180,7 @@
         }, config.watchdogUs(), config.jitterUs(), c.peer().hashCode());
         watchdogs.put(c, watchdog);
         watchdog.up();
-        teardowns.found(c);
+        teardowns.opened(c);
         askToLeave(c);
     }
 
@@ -188,6 +207,7 @@
     public void closed(Connection c) {
         connections.remove(c);
         askedToLeave.remove(c);
+        unknownEndsOf.remove(c);
         teardowns.lost(c);
         Watchdog watchdog = watchdogs.remove(c);
         if (watchdog != null) {
@@ -199,7 +219,7 @@
             if (!core.detach(s.call)) {
                 s.answered = true;
                 s.giveMemory();
-                sessions.remove(s.id, s);
+                forget(s);
                 repeats.forget(s.key);
             }
         }
@@ -209,6 +229,7 @@
 
     @Override
     public void request(Connection on, DiameterMessage m) {
+        taken++;
         String key = m.text(Avp.ORIGIN_HOST) + "/" + Integer.toHexString(m.endToEnd());
         // A repeat of what is in hand is dropped, of what was answered gets the same answer: never a second one.
         DiameterMessage given = repeats.answer(key);
@@ -334,17 +355,87 @@
             on.send(m.answer(me, SUCCESS));
             return;
         }
-        if (s == null || !s.answered) {
+        if (s == null) {
+            terminateFormerSession(on, m);
+            return;
+        }
+        if (!s.answered) {
             throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
         }
-        sessions.remove(s.id, s);
+        if (!s.aborted && stopping && !canRelease.test(s.call)) {
+            // It stands on: its client may end it through the next process.
+            throw new DiameterException(DiameterException.UNABLE_TO_DELIVER, "its server is not connected any more", null);
+        }
+        forget(s);
         on.send(m.answer(me, SUCCESS));
-        if (teardowns.told(s)) {
-            endIsTold(s);
+        if (s.end != null) {
+            teardowns.told(s.end);
         }
         if (!s.aborted) {
             core.releasedByCaller(s.call);
         }
+        askToLeave(on);
+    }
+
+    /** One that this process has not set up: it may stand at a server from before this process started. */
+    private void terminateFormerSession(Connection on, DiameterMessage m) {
+        String id = m.text(Avp.SESSION_ID);
+        if (ended.has(id) || !SessionIds.mayBeOf(on.peer(), id) || !mayEndUnknown(on)) {
+            throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
+        }
+        formerSessionServers.terminate(id, m.text(Avp.DESTINATION_HOST), result -> {
+            if (result != DiameterException.UNABLE_TO_DELIVER) {
+                ended.add(id);
+            }
+            on.send(m.answer(me, result));
+        });
+    }
+
+    /** Guards the servers against the ends of sessions that nobody has set up, under ever new names. */
+    private boolean mayEndUnknown(Connection on) {
+        TokenBucket own = unknownEndsOf.computeIfAbsent(on, c -> new TokenBucket(UNKNOWN_ENDS, UNKNOWN_ENDS_A_S));
+        return own.tryTake(1, clock.nowUs()) && unknownEnds.tryTake(1, clock.nowUs());
+    }
+
+    /** Who knows whether the server of a call could be told of its end now. */
+    void onRelease(LongPredicate possible) {
+        canRelease = possible;
+    }
+
+    /** Who tells the servers that a client ends a session which this process has not set up. */
+    void onFormerSessionTerminated(FormerSessionServers told) {
+        formerSessionServers = told;
+    }
+
+    /**
+     * A server has ended a session which this process has not set up: its client is told, now or as it is back, and
+     * {@code result} takes the code for the server after that.
+     */
+    void abortFormerSession(String id, LongConsumer result) {
+        Session known = sessions.get(id);
+        if (known != null && known.end != null && known.isOfFormerProcess()) {
+            // It has said so before, and its connection was lost since.
+            known.formerResults.add(result);
+        } else if (known != null || ended.has(id)) {
+            result.accept(DiameterException.UNKNOWN_SESSION_ID);
+        } else {
+            Session former = new Session(id);
+            former.formerResults.add(result);
+            sessions.put(id, former);
+            former.abort(realmOf(former.client), null);
+        }
+    }
+
+    /** The realm of an identity: its domain. */
+    private String realmOf(String identity) {
+        int dot = identity.indexOf('.');
+        return dot < 0 ? me.realm() : identity.substring(dot + 1);
+    }
+
+    private void forget(Session s) {
+        if (sessions.remove(s.id, s)) {
+            ended.add(s.id);
+        }
     }
 
     /** Whether a client has begun a message that is not whole. */
@@ -357,9 +448,18 @@
         return sessions.size();
     }
 
+    /** Tells the servers that a client ends a session which this process has not set up. */
+    @FunctionalInterface
+    interface FormerSessionServers {
+        /** {@code server}: which one the client means, empty if none; {@code result} takes the code for the client. */
+        void terminate(String sessionId, String server, LongConsumer result);
+    }
+
     /** One session on this side. */
     private final class Session implements Callers<DiameterMessage> {
         final String id;
+        /** The identity of the client that has it. */
+        final String client;
         /** Of its request, among the repeats. */
         String key;
         /** Where its client waits for its answer, and the request as it came there. */
@@ -368,6 +468,10 @@
         long call;
         boolean answered;
         boolean aborted;
+        /** What its client is to be told of its end; null: nothing. */
+        ClientTeardowns.End end;
+        /** What servers wait for that have ended it, where it stood before this process started. */
+        final List<LongConsumer> formerResults = new ArrayList<>();
         /** Bytes of the budget that it has. */
         private int weight;
 
@@ -376,6 +480,18 @@
             this.request = request;
             this.key = key;
             this.id = request.text(Avp.SESSION_ID);
+            client = on.peer();
+        }
+
+        /** One from before this process started that its server has ended. */
+        Session(String id) {
+            this.id = id;
+            client = SessionIds.client(id);
+            answered = true;
+        }
+
+        boolean isOfFormerProcess() {
+            return request == null;
         }
 
         /** Takes what its request needs until it is answered; false: there is no room. */
@@ -406,13 +522,13 @@
 
         @Override
         public void stands(long number, DiameterMessage given) {
-            answer(given.answering(request));
             aborted = given.result() / 1000 != 2;
+            answer(given.answering(request));
         }
 
         @Override
         public void refused(long number, long comeBackUs) {
-            sessions.remove(id, this);
+            forget(this);
             long ms = (comeBackUs > 0 ? comeBackUs : COME_BACK_US) / 1000;
             answer(request.answer(me, DiameterException.TOO_BUSY,
                 Avp.note(Avp.ERROR_MESSAGE, "come back in " + ms + " ms")));
@@ -420,7 +536,7 @@
 
         @Override
         public void failed(long number) {
-            sessions.remove(id, this);
+            forget(this);
             answer(request.answer(me, DiameterException.UNABLE_TO_DELIVER));
         }
 
@@ -434,56 +550,21 @@
         @Override
         public void released(long number, Ending ending) {
             if (aborted) {
-                sessions.remove(id, this);
-                return;
+                forget(this);
+            } else {
+                abort(request.text(Avp.ORIGIN_REALM), on);
             }
-            aborted = true;
-            List<Avp> avps = new ArrayList<>();
-            avps.add(Avp.text(Avp.SESSION_ID, id));
-            avps.addAll(me.origin());
-            avps.add(Avp.text(Avp.DESTINATION_REALM, request.text(Avp.ORIGIN_REALM)));
-            avps.add(Avp.text(Avp.DESTINATION_HOST, request.text(Avp.ORIGIN_HOST)));
-            avps.add(Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ));
-            DiameterMessage asr = new DiameterMessage(REQUEST | PROXIABLE, ABORT_SESSION, NASREQ, 0, nextEndToEnd++, avps);
-            // The client ends the session with an STR; one that stays away has no session to come back to.
-            timers.after(config.requestUs(), () -> sessions.remove(id, this));
-            endsUntold.merge(on.peer(), 1, Integer::sum);
-            teardowns.owe(this, asr, on);
-        }
-    }
-
-    /** A session's end is told to its own client alone, on any of its connections. */
-    private final class ToClients implements TeardownRoutes<Session, DiameterMessage, Connection> {
-        @Override
-        public Connection best(Session s, Connection but) {
-            for (Connection c : connections) {
-                if (c != but && c.isOpen() && c.peer().equals(s.on.peer())) {
-                    return c;
-                }
-            }
-            return null;
         }
 
-        @Override
-        public int rank(Connection way) {
-            return way.isOpen() ? 0 : -1;
-        }
-
-        @Override
-        public void write(Session s, DiameterMessage asr, Connection way, boolean again) {
-            // Its answer settles it, whatever it says: a session that is not known is ended too.
-            way.request(again ? asr.with(asr.flags() | RETRANSMITTED, 0, asr.avps()) : asr, asa -> {
-                if (asa != null && teardowns.told(s)) {
-                    endIsTold(s);
-                }
+        /** Its client is told that it is over. */
+        void abort(String realm, Connection first) {
+            aborted = true;
+            end = teardowns.abort(id, client, realm, first, result -> {
+                // The client ends the session with an STR; one that stays away has no session to come back to.
+                timers.after(config.requestUs(), () -> forget(this));
+                List.copyOf(formerResults).forEach(each -> each.accept(result));
+                formerResults.clear();
             });
         }
-
-        @Override
-        public void abandoned(Session s, Abandonment why, int tries) {
-            eventLog.write(Event.TEARDOWN_ABANDONED, () -> "session=" + s.id + " reason=" + why + " tries=" + tries + " client="
-                + s.on.peer());
-            endIsTold(s);
-        }
     }
 }
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -15,27 +15,42 @@
 import grebewick.core.Timers;
 import grebewick.diameter.SessionTeardowns.Cause;
 import grebewick.liveness.LeaseTimes;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /** The core's port to the authorising servers: sessions are asked for, answered and ended there. */
 final class DiameterServers implements Servers<DiameterMessage>, ServerPeer.Listener {
+    /** us. After a start, in which clients repeat what they have asked the process before it. */
+    private static final long REPEATED_US = 60_000_000;
+
     private final Clock clock;
     private final Timers timers;
     private final Consumer<String> log;
     private final Map<String, ServerPeer> peers = new TreeMap<>();
     private final ServerSessions sessions = new ServerSessions();
     private final SessionTeardowns teardowns;
+    private final FormerTerminations formerSessions;
     private final UnheardGiveUps giveUps;
     private final SilenceMonitor<ServerPeer> silence = new SilenceMonitor<>(LeaseTimes.DEFAULT);
+    /** Sessions that servers have ended which this process has not set up, until their clients have heard of it. */
+    private final Set<String> formerAborts = new HashSet<>();
     private final Identity me;
+    private final NetClient client;
+    private final long startedUs;
+    private long taken;
+    private BiConsumer<String, LongConsumer> formerSessionClients = (id, result) -> result
+        .accept(DiameterException.UNKNOWN_SESSION_ID);
     private Gatekeeper<DiameterMessage> core;
 
     DiameterServers(Vertx vertx, DiameterConfig config, Identity me, Clock clock, Timers timers, Consumer<String> log) {
@@ -43,9 +58,11 @@
         this.clock = clock;
         this.timers = timers;
         this.log = log;
-        teardowns = new SessionTeardowns(me, clock, timers, new EventLog(log, clock), this::heard);
+        teardowns = new SessionTeardowns(me, clock, timers, new EventLog(log, clock), new OwnTeardowns());
+        formerSessions = new FormerTerminations(me, config.requestUs(), clock, timers, new EventLog(log, clock));
         giveUps = new UnheardGiveUps(timers, teardowns::isTold, call -> core.giveUpHeard(call));
-        NetClient client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
+        startedUs = clock.nowUs();
+        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, config.settings().bounds().connectTimeoutUs() / 1000)));
         for (DiameterConfig.Peer peer : config.peers()) {
             peers.put(peer.host(), new ServerPeer(peer, config, me, client, clock, timers, this, log));
@@ -58,6 +75,7 @@
         tell(Scope.PERSISTED, Map.of());
         peers.values().forEach(ServerPeer::connect);
         teardowns.start();
+        formerSessions.start();
         timers.after(SilenceMonitor.LOOK_US, this::look);
     }
 
@@ -75,16 +93,59 @@
         }
     }
 
+    /**
+     * Who tells a client that its server has ended a session which this process has not set up; it is given the code for the
+     * server once the client has heard of it.
+     */
+    void onFormerSessionAborted(BiConsumer<String, LongConsumer> told) {
+        formerSessionClients = told;
+    }
+
+    /**
+     * Ends a session which this process has not set up, for its client: at the server named, if there is one and it has it, or at
+     * whichever has it. {@code result} takes the code for the client.
+     */
+    void terminateFormerSession(String sessionId, String host, LongConsumer result) {
+        formerSessions.terminate(sessionId, peers.get(host), peers.values(), result);
+    }
+
     /** Sessions whose ends their servers are still to be told. */
     int pendingTeardowns() {
-        return teardowns.pending();
+        return teardowns.pending() + formerSessions.pending();
     }
 
-    /** Takes leave of every peer. */
+    /** Takes leave of every peer; what they are still to be told goes on. */
     void stop() {
         peers.values().forEach(ServerPeer::stop);
     }
 
+    /** Whether all peers have heard that this node goes, and so say nothing new. */
+    boolean haveLeft() {
+        return peers.values().stream().allMatch(ServerPeer::hasLeft);
+    }
+
+    /** Closes all connections. */
+    Future<Void> close() {
+        peers.values().forEach(ServerPeer::close);
+        return client.close();
+    }
+
+    /** Whether the server of a standing session could be told of its end now. */
+    boolean canRelease(long call) {
+        ServerSession session = sessions.ofCall(call);
+        return session != null && session.at.isOpen();
+    }
+
+    /** Clients whose sessions' ends are yet to be heard of by servers are told that they could not be. */
+    void answerAll() {
+        formerSessions.answerAll();
+    }
+
+    /** Messages from servers since the start. */
+    long taken() {
+        return taken;
+    }
+
     private void tell(Scope scope, Map<String, Long> dead) {
         core.fleet(new Fleet(scope, 0, peers.values().stream().map(ServerPeer::entry).toList()), dead);
     }
@@ -107,12 +168,14 @@
         avps.add(Avp.text(Avp.DESTINATION_HOST, server));
         avps.add(Avp.text(Avp.ROUTE_RECORD, asked.text(Avp.ORIGIN_HOST)));
         int flags = asked.flags() | (copy > 0 ? RETRANSMITTED : 0);
+        session.isRepeated = offer.isRetry();
         session.on = to.connection();
         session.on.request(asked.with(flags, 0, avps), answer -> answered(session, answer), () -> session.sent = true);
         session.isAsked = true;
     }
 
     private void answered(ServerSession session, DiameterMessage answer) {
+        taken++;
         if (answer == null) {
             if (sessions.remove(session)) {
                 lostUnanswered(session);
@@ -133,8 +196,8 @@
             if (!waiting || !core.stood(session.call, session.copy, answer, List.of())) {
                 sessions.remove(session);
                 teardowns.terminateOpened(session, Cause.ADMINISTRATIVE);
-            } else if (session.copy > 0) {
-                teardowns.forget(session);
+            } else {
+                standsAlone(session);
             }
             return;
         }
@@ -156,6 +219,18 @@
         }
     }
 
+    /** What earlier requests for a session that stands now may have left goes, here and at other servers. */
+    private void standsAlone(ServerSession session) {
+        if (session.copy > 0) {
+            teardowns.forget(session);
+        }
+        if (session.isRepeated && clock.nowUs() - startedUs < REPEATED_US) {
+            // A process before this one may have had the request out, and is not there to end what it opened.
+            peers.values().stream().filter(peer -> peer != session.at).forEach(
+                peer -> teardowns.terminate(ServerSession.ofFormerProcess(peer, session.id), Cause.SERVICE_NOT_PROVIDED));
+        }
+    }
+
     /** Its connection is lost: its server may have opened the session, and its answer may be lost with the connection. */
     private void lostUnanswered(ServerSession session) {
         if (session.isAsked) {
@@ -195,10 +270,6 @@
         teardowns.terminate(session, Cause.SERVICE_NOT_PROVIDED);
     }
 
-    private void heard(ServerSession session) {
-        giveUps.answered(session);
-    }
-
     @Override
     public boolean isGiveUpUnheard(long call) {
         return giveUps.has(call);
@@ -249,6 +320,7 @@
     /** The server ends a session: it is told so, gets its STR, and the client is told. */
     @Override
     public void aborts(ServerPeer peer, Connection on, DiameterMessage m) {
+        taken++;
         ServerSession session = sessions.ofId(m.need(Avp.SESSION_ID).text());
         if (session != null && session.at != peer) {
             // What an earlier request has left there ends; the session stands elsewhere.
@@ -256,7 +328,7 @@
             return;
         }
         if (session == null) {
-            on.send(m.answer(me, DiameterException.UNKNOWN_SESSION_ID));
+            abortFormerSession(peer, on, m);
             return;
         }
         on.send(m.answer(me, SUCCESS));
@@ -266,14 +338,28 @@
         core.ended(session.call, session.copy, State.RESET_BY_PEER, 0, List.of());
     }
 
+    /** Its client has the session, where it stood before this process started: the server is answered once that has heard. */
+    private void abortFormerSession(ServerPeer peer, Connection on, DiameterMessage m) {
+        String id = m.text(Avp.SESSION_ID);
+        boolean isFirst = formerAborts.add(id);
+        formerSessionClients.accept(id, result -> {
+            on.send(m.answer(me, result));
+            if (isFirst && formerAborts.remove(id) && result == SUCCESS) {
+                teardowns.terminate(ServerSession.ofFormerProcess(peer, id), Cause.ADMINISTRATIVE);
+            }
+        });
+    }
+
     @Override
     public void opened(ServerPeer peer, Connection on) {
         teardowns.opened(on);
+        formerSessions.opened(on);
     }
 
     @Override
     public void closed(ServerPeer peer, Connection on) {
         teardowns.lost(on);
+        formerSessions.lost(on);
         giveUps.lost(on);
         tell(Scope.COMPLETE, Map.of());
         long silentUs = clock.nowUs() - peer.heardUs();
@@ -294,6 +380,7 @@
     public void restarted(ServerPeer peer) {
         List<ServerSession> lost = sessions.removeAllAt(peer);
         teardowns.forgetAllAt(peer);
+        formerSessions.restarted(peer);
         tell(Scope.COMPLETE, Map.of(peer.host(), peer.startedAtUs()));
         for (ServerSession session : lost) {
             if (!session.stands && session.on.isOpen()) {
@@ -309,4 +396,17 @@
     public void changed(ServerPeer peer) {
         tell(Scope.COMPLETE, Map.of());
     }
+
+    /** What becomes of the ends of this process's own sessions. */
+    private final class OwnTeardowns implements SessionTeardowns.Listener {
+        @Override
+        public void answered(ServerSession session, long result) {
+            giveUps.answered(session);
+        }
+
+        @Override
+        public void abandoned(ServerSession session) {
+            // A server that has not heard of a request's end loses its connection.
+        }
+    }
 }
--- a/src/main/java/grebewick/diameter/ServerPeer.java
+++ b/src/main/java/grebewick/diameter/ServerPeer.java
@@ -45,6 +45,7 @@
     private Connection connection;
     private boolean draining;
     private boolean stopping;
+    private boolean hasLeft;
     /** This side has closed the connection, and the peer's sessions need another one. */
     private boolean isCutOff;
     private long startedAtUs;
@@ -120,11 +121,24 @@
             .onFailure(e -> timers.after(config.reconnectUs(), this::connect));
     }
 
-    /** Takes leave of it; it is not connected to again. */
+    /** Takes leave of it; it is not connected to again. What it has said before is read, and what is written is sent. */
     void stop() {
+        if (!stopping && isOpen()) {
+            connection.announceLeave(() -> hasLeft = true);
+        }
         stopping = true;
-        if (isOpen()) {
-            connection.disconnect();
+    }
+
+    /** Whether it has answered that this node goes, or there is no connection on which it could. */
+    boolean hasLeft() {
+        return stopping && (hasLeft || !isOpen());
+    }
+
+    /** Closes its connection. */
+    void close() {
+        stopping = true;
+        if (connection != null) {
+            connection.abort();
         }
     }
 
--- a/src/main/java/grebewick/diameter/ServerSession.java
+++ b/src/main/java/grebewick/diameter/ServerSession.java
@@ -10,6 +10,8 @@
     final String id;
     /** Where its request was written. */
     Connection on;
+    /** Its client says that it may have asked for it before. */
+    boolean isRepeated;
     /** Its request was handed to that connection. */
     boolean isAsked;
     /** The network has its request. */
@@ -26,6 +28,11 @@
         this.id = id;
     }
 
+    /** One that may stand at a server from before this process started: it is no call of the core's. */
+    static ServerSession ofFormerProcess(ServerPeer at, String id) {
+        return new ServerSession(0, 0, at, id);
+    }
+
     /** Whether another request was for the same session at the same server. */
     boolean isSameAs(ServerSession other) {
         return at == other.at && id.equals(other.id);
--- a/src/main/java/grebewick/diameter/SessionTeardowns.java
+++ b/src/main/java/grebewick/diameter/SessionTeardowns.java
@@ -14,7 +14,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
 
 /** Ends of sessions that servers are to be told, each its own server alone, by STR (RFC 6733, section 8.4.1). */
 final class SessionTeardowns {
@@ -32,6 +31,15 @@
         }
     }
 
+    /** Who is told what becomes of them. */
+    interface Listener {
+        /** Its server has answered the STR. */
+        void answered(ServerSession session, long result);
+
+        /** It is forgotten, and its server has not answered. */
+        void abandoned(ServerSession session);
+    }
+
     /**
      * STRs wait for their peer for 10 min; without an answer on an open connection they are not repeated, but told lost
      * with it.
@@ -44,16 +52,16 @@
     private final Identity me;
     private final EventLog eventLog;
     private final TeardownSender<ServerSession, DiameterMessage, Connection> teardowns;
-    private final Consumer<ServerSession> answered;
+    private final Listener listener;
     /** Ends that a server may have heard of before it opened the session: they are to be told again. */
     private final Set<ServerSession> openedSince = new HashSet<>();
     private int nextEndToEnd;
 
-    /** {@code answered} is told of each session whose server has answered its STR. */
-    SessionTeardowns(Identity me, Clock clock, Timers timers, EventLog eventLog, Consumer<ServerSession> answered) {
+    /** Nothing is to be told yet. */
+    SessionTeardowns(Identity me, Clock clock, Timers timers, EventLog eventLog, Listener listener) {
         this.me = me;
         this.eventLog = eventLog;
-        this.answered = answered;
+        this.listener = listener;
         nextEndToEnd = (int) clock.nowUs();
         teardowns = new TeardownSender<>(POLICY, new ToPeers(), clock, timers, SWEEP_US);
     }
@@ -110,6 +118,12 @@
         teardowns.lost(on);
     }
 
+    /** A session is known to be over, wherever it stood. */
+    void forgetAll(String sessionId) {
+        openedSince.removeIf(session -> session.id.equals(sessionId));
+        teardowns.forgetIf(session -> session.id.equals(sessionId));
+    }
+
     /** A server has lost its sessions: there is nothing left to end. */
     void forgetAllAt(ServerPeer server) {
         openedSince.removeIf(ended -> ended.at == server);
@@ -119,7 +133,7 @@
     /** A server has answered an STR: whatever it says, it has no such session now. */
     private void answered(ServerSession session, DiameterMessage answer) {
         teardowns.told(session);
-        answered.accept(session);
+        listener.answered(session, answer.result());
         if (openedSince.remove(session) && answer.result() != SUCCESS) {
             terminate(session, Cause.ADMINISTRATIVE);
         }
@@ -150,6 +164,7 @@
         @Override
         public void abandoned(ServerSession key, Abandonment why, int tries) {
             openedSince.remove(key);
+            listener.abandoned(key);
             eventLog.write(Event.TEARDOWN_ABANDONED,
                 () -> "session=" + key.id + " reason=" + why + " tries=" + tries + " server=" + key.at.host());
         }
