Trunk: a server hears of a give-up also where its connection is lost or silent

A set-up whose connection broke could stand at its server for nobody, or at two servers, as its answer was lost with the connection. One whose connection was silent was released there alone. Cause: what was owed to the server of a set-up went with the connection that had carried it. Change: a lost connection's set-ups are released on another that reaches the same process, or on the next one that does; a process known to be dead, or another, is sent nothing of it. Where a connection has been silent since the set-up, the release goes out on a second one too.

--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -88,7 +88,7 @@
     private final Consumer<String> log;
     private final EventLog eventLog;
     private long nextNumber = 1;
-    private final ArrayDeque<TrunkMessage> owed = new ArrayDeque<>();
+    private final ArrayDeque<OwedMessage> owed = new ArrayDeque<>();
     private final List<ServerConnection> open = new ArrayList<>();
     private Address address;
     private boolean connecting;
@@ -303,8 +303,10 @@
             socket.close();
         });
         socket.closeHandler(v -> closed(connection));
-        for (TrunkMessage m = owed.poll(); m != null; m = owed.poll()) {
-            write(connection, m);
+        for (OwedMessage message = owed.poll(); message != null; message = owed.poll()) {
+            if (message.isFor(connection)) {
+                write(connection, message.message);
+            }
         }
         if (!listed) {
             // Before anything that waits for it goes out there.
@@ -462,6 +464,10 @@
         }
         unreachable = true;
         starved = false;
+        if (dead) {
+            // What comes up next is another process, which knows of none of these calls.
+            owed.clear();
+        }
         owner.unreachable(this, dead);
     }
 
@@ -474,6 +480,11 @@
         write(connection, message).onSuccess(v -> sent.run());
     }
 
+    /** Sends on that connection and no other; what comes back is complete once the network has it. */
+    Future<Void> sendOn(ServerConnection connection, TrunkMessage message) {
+        return write(connection, message);
+    }
+
     /** Sends on the connection given, or else on another, or on the next one to come up. */
     void send(ServerConnection on, TrunkMessage message) {
         ServerConnection connection = on != null && open.contains(on) ? on : null;
@@ -485,8 +496,47 @@
         }
         if (connection != null) {
             write(connection, message);
-        } else if (listed && owed.size() < MOST_OWED) {
-            owed.add(message);
+        } else {
+            owe(message, null);
+        }
+    }
+
+    /**
+     * Another connection that reaches the same process as that one, null where none is known to. One that is older never reaches
+     * a process that has followed.
+     */
+    private ServerConnection beside(ServerConnection connection) {
+        for (ServerConnection other : open) {
+            boolean isSame = other.process.current() == connection.process.current();
+            boolean isOlder = other.sinceUs <= connection.sinceUs;
+            if ((isSame || isOlder) && other != connection && !other.finishing) {
+                return other;
+            }
+        }
+        return null;
+    }
+
+    /** Sends a second copy of what was sent on a silent connection, on another one. */
+    void sendBeside(ServerConnection silent, TrunkMessage message) {
+        ServerConnection other = beside(silent);
+        if (other != null) {
+            write(other, message);
+        }
+    }
+
+    /** Sends what concerns a call that was set up on a connection which is lost since. */
+    void sendAfter(ServerConnection lost, TrunkMessage message) {
+        ServerConnection other = beside(lost);
+        if (other != null) {
+            write(other, message);
+        } else {
+            owe(message, lost.process);
+        }
+    }
+
+    private void owe(TrunkMessage message, ProcessLease process) {
+        if (listed && owed.size() < MOST_OWED) {
+            owed.add(new OwedMessage(message, process));
         }
     }
 
@@ -609,4 +659,11 @@
     boolean isClosed() {
         return open.isEmpty() && !connecting;
     }
+
+    /** A message that waits for a connection; {@code process}: which one it is for, null: whichever comes. */
+    private record OwedMessage(TrunkMessage message, ProcessLease process) {
+        boolean isFor(ServerConnection connection) {
+            return process == null || process.current() == connection.process.current();
+        }
+    }
 }
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -63,6 +63,7 @@
     private final ServerRegistry servers;
     private final Map<Long, CallLeg> byCall = new HashMap<>();
     private final Map<Long, CallLeg> byId = new HashMap<>();
+    private final UnwrittenReleases unwrittenReleases;
     private final Map<Long, Probe> probes = new HashMap<>();
     /** Where set-ups that waited for a connection may leave once all input is read. */
     private final Set<ServerConnections> ready = new LinkedHashSet<>();
@@ -104,6 +105,7 @@
         checkClient = set.bounds().probes() ? null : vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout(AddressCheck.CONNECT_MS));
         servers = new ServerRegistry(this::connections);
+        unwrittenReleases = new UnwrittenReleases(timers, call -> core.giveUpHeard(call));
         timers.after(SWEEP_US, this::sweep);
     }
 
@@ -284,14 +286,23 @@
         if (leg.on == null || !leg.connections.isOpen(leg.on)) {
             return;
         }
-        leg.connections.send(leg.on, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
+        TrunkMessage release = of(RELEASE, leg.offer.id(), NORMAL_CLEARING);
+        ServerConnection on = leg.on;
+        unwrittenReleases.add(leg.call, leg.connections.sendOn(on, release),
+            () -> leg.connections.drop(on, "does-not-take-a-release"));
         if (leg.on.heardUs < leg.sentUs && clock.nowUs() - leg.sentUs > doubtUs) {
             // Guards against a silent, vanished server: only a new connection tells it from a slow one. And against
-            // one whose answer got lost: what else it is to send there may be lost too.
+            // one whose answer got lost: what else it is to send there may be lost too, and so may what is sent to it.
+            leg.connections.sendBeside(on, release);
             leg.connections.retire(leg.on, "set-up-not-answered");
         }
     }
 
+    @Override
+    public boolean isGiveUpUnheard(long call) {
+        return unwrittenReleases.has(call);
+    }
+
     @Override
     public void release(long call, String server) {
         CallLeg leg = byCall.get(call);
@@ -378,6 +389,8 @@
         for (CallLeg leg : List.copyOf(connection.legs)) {
             if (!leg.stands) {
                 forget(leg);
+                // Guards against a call that stands for nobody: the answer may be lost with the connection.
+                connections.sendAfter(connection, of(RELEASE, leg.offer.id(), NORMAL_CLEARING));
                 core.ended(leg.call, leg.copy, State.RESET_BY_PEER, 0, List.of());
             }
         }
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -158,6 +158,7 @@
             c > INVITE 01
             s1 < set-up 01*
             s1 closes
+            s1 < release 01 16
             s1 has no more
             wait 499
             s2 has no more
@@ -504,6 +505,26 @@
             c > 200 BYE 01""");
     }
 
+    /** Guards a new process against what concerns calls of the one before, which has taken them along. */
+    @Test
+    void theReleaseOfASetUpThatIsLostWithItsProcessIsNotSentToTheNextOne() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 stops
+            c has no more
+            wait 501
+            s2 < set-up 01*
+            s2 > answer 01 desc
+            c < 200 INVITE 01 desc
+            s1 listens
+            wait 5000
+            s1 has no more
+            c > BYE 01
+            c < 200 BYE 01
+            s2 < release 01 16""");
+    }
+
     /** Guards the other set-ups against an answer that cannot be read: it takes its own connection along, no other. */
     @Test
     void aSpoiltAnswerEndsNoOtherSetUp() {
@@ -515,7 +536,8 @@
             c > INVITE 02
             s1 < set-up 02*
             s1 > raw \0\11\173spoilt...
-            s1 sees the end
+            s1 lost 1
+            s1 < release 02 16
             s1 > answer 01 desc
             c < 200 INVITE 01 desc
             wait 559
@@ -538,7 +560,7 @@
             s1 < set-up 01*
             s1 > raw \0
             s1 > raw \120
-            c has no more""").play("wait 100\n wait 400\n s1 sees the end\n wait 501\n s2 < set-up 01*"
+            c has no more""").play("wait 100\n wait 400\n s1 lost 1\n s1 < release 01 16\n wait 501\n s2 < set-up 01*"
             + "\n s2 > answer 01 desc\n c < 200 INVITE 01 desc\n c > BYE 01\n c < 200 BYE 01\n s2 < release 01 16");
     }
 
@@ -560,7 +582,9 @@
             c < BYE 01 16""");
     }
 
-    /** Guards against a connection on which nothing comes any more: the next set-up goes out on another. */
+    /**
+     * Guards against a connection on which nothing comes any more: the release goes out on another too, as does the next set-up.
+     */
     @Test
     void aConnectionThatKeepsSilentIsUsedNoMore() {
         s.play("""
@@ -572,8 +596,9 @@
             c < 200 CANCEL 01
             c < 487 INVITE 01
             s1 < release 01 16
+            s1 < release 01 16
             wait 100
-            s1 sees the end
+            s1 lost 1
             c > INVITE 02
             s1 < set-up 02*
             s1 > answer 02 desc
@@ -641,13 +666,14 @@
             c < 200 CANCEL 02
             c < 487 INVITE 02
             s1 < release 02 16
+            s1 < release 02 16
             wait 100
             s1 has no more
             s1 > release 01 16
             s1 < released 01
             c < BYE 01 16
             wait 100
-            s1 sees the end""");
+            s1 lost 1""");
     }
 
     /** Guards the ends of calls that were on their way on a connection that broke: they come again on the next one. */
@@ -666,6 +692,7 @@
             c < 200 CANCEL 02
             c < 487 INVITE 02
             s1 < release 02 16
+            s1 < release 02 16
             s1 reached 3
             s1 closes
             s1 reached 4
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -27,7 +27,8 @@
  * {@code PARTY < MESSAGE} (expect; {@code *} at the end stands for any rest), {@code PARTY connects}, {@code PARTY closes},
  * {@code PARTY sees the end}, {@code PARTY listens}, {@code PARTY stops}, {@code PARTY has no more},
  * {@code PARTY hangs} (it says and answers nothing of itself any more, its connections stay open), {@code PARTY goes on},
- * {@code PARTY reached N} (so many connections with it have come up in all), what an {@linkplain #actor actor} does,
+ * {@code PARTY reached N} (so many connections with it have come up in all), {@code PARTY lost N} (so many have ended),
+ * what an {@linkplain #actor actor} does,
  * {@code loop is late} (what is chosen from now on waits for what has come in to be read), {@code loop is caught-up}, or
  * {@code wait MS}. Expectations wait for the message itself; only {@code wait} lets time pass.
  */
@@ -152,6 +153,10 @@
             case "hangs" -> party.hangs = true;
             case "goes" -> party.hangs = false;
             case "reached" -> until(() -> party.accepted >= Integer.parseInt(words[2]));
+            case "lost" -> {
+                until(() -> party.closed >= Integer.parseInt(words[2]));
+                party.heard.removeIf("(closed)"::equals);
+            }
             case "has" -> {
                 party.send(party.dialect.ping()[0]);
                 party.expect(party.dialect.ping()[1]);
@@ -176,6 +181,7 @@
         final Set<NetSocket> open = new LinkedHashSet<>();
         volatile NetSocket socket;
         int accepted;
+        int closed;
         volatile boolean hangs;
 
         Party(String name, Dialect dialect) {
@@ -219,6 +225,7 @@
             })::accept);
             s.closeHandler(v -> {
                 open.remove(s);
+                closed++;
                 if (socket == s) {
                     socket = open.isEmpty() ? null : open.iterator().next();
                     heard.add("(closed)");
