Diameter: a broken connection is replaced soon, and what is owed on it told

Callers saw: after one reset under a request, its session could stand at the first server for up to 30 s (reconnect_ms) beside the one at the second: the STR waited for the next connection. Cause: the next connection with a server came when the timer for absent servers said so, whatever was owed there. Change: a connection that was open for 1 s and breaks without a DPR is replaced within 0.1 s, at random; a failed try, a short one and a peer that has asked to leave wait for reconnect_ms as before. Where a lost connection's STR is answered, the release time of its call begins then.

--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -234,6 +234,7 @@
     /** Its connection is lost: its server may have opened the session, and its answer may be lost with the connection. */
     private void lostUnanswered(ServerSession session) {
         if (session.isAsked) {
+            session.isLost = true;
             teardowns.terminate(session, Cause.SERVICE_NOT_PROVIDED);
         }
         core.ended(session.call, session.copy, State.RESET_BY_PEER, 0, List.of());
@@ -402,6 +403,10 @@
         @Override
         public void answered(ServerSession session, long result) {
             giveUps.answered(session);
+            if (session.isLost) {
+                // What it may have opened was open until now: its release time begins anew.
+                core.giveUpHeard(session.call);
+            }
         }
 
         @Override
--- a/src/main/java/grebewick/diameter/ServerPeer.java
+++ b/src/main/java/grebewick/diameter/ServerPeer.java
@@ -6,6 +6,7 @@
 import grebewick.core.Clock;
 import grebewick.core.Timers;
 import io.vertx.core.net.NetClient;
+import java.util.Random;
 import java.util.function.Consumer;
 
 /** One authorising server, over all its connections: it is connected to again and again, and watched (RFC 3539). */
@@ -28,6 +29,10 @@
         void aborts(ServerPeer peer, Connection on, DiameterMessage request);
     }
 
+    /** us. A connection that was open for so long is replaced soon where it breaks. */
+    private static final long STABLE_US = 1_000_000;
+    /** us. Over which the gatekeepers of one server spread the connections that replace broken ones. */
+    private static final long MOST_JITTER_US = 100_000;
     /** Bytes of a server's answers that may wait to be taken. */
     private static final int MOST_BACKLOG = 4 * 1024 * 1024;
 
@@ -44,10 +49,13 @@
     private final ByteBudget backlog = new ByteBudget(MOST_BACKLOG);
     private Connection connection;
     private boolean draining;
+    /** By a DPR on the latest connection: it wants no other soon. */
+    private boolean hasAskedToLeave;
     private boolean stopping;
     private boolean hasLeft;
-    /** This side has closed the connection, and the peer's sessions need another one. */
-    private boolean isCutOff;
+    /** us. When the connection was opened; 0: the latest never was. */
+    private long openedUs;
+    private final Random random;
     private long startedAtUs;
     private long heardUs;
     /** Its largest Origin-State-Id so far; 0: it has told none. */
@@ -63,6 +71,7 @@
         this.timers = timers;
         this.listener = listener;
         this.log = log;
+        random = new Random(peer.host().hashCode() ^ clock.nowUs());
         watchdog = new Watchdog(timers, this, config.watchdogUs(), config.jitterUs(), peer.host().hashCode());
     }
 
@@ -91,10 +100,9 @@
         }
     }
 
-    /** Closes its connection with what it has not taken of it; another one follows at once. */
+    /** Closes its connection with what it has not taken of it; another one follows. */
     void cutOff(String why) {
         log.accept("diameter: closed the connection to " + peer.host() + ": " + why);
-        isCutOff = true;
         connection.abort();
     }
 
@@ -150,6 +158,8 @@
     @Override
     public void open(Connection c) {
         draining = false;
+        hasAskedToLeave = false;
+        openedUs = clock.nowUs();
         heardUs = clock.nowUs();
         noteStateId(c);
         listener.opened(this, c);
@@ -177,6 +187,7 @@
     @Override
     public void draining(Connection c) {
         draining = true;
+        hasAskedToLeave = true;
         listener.changed(this);
     }
 
@@ -197,8 +208,14 @@
         watchdog.down();
         draining = true;
         listener.closed(this, c);
-        timers.after(isCutOff ? 0 : config.reconnectUs(), this::connect);
-        isCutOff = false;
+        timers.after(reconnectUs(), this::connect);
+        openedUs = 0;
+    }
+
+    /** Its sessions need a connection: one that was of use and broke is followed by another soon, any other later. */
+    private long reconnectUs() {
+        boolean isBroken = openedUs > 0 && !hasAskedToLeave && clock.nowUs() - openedUs >= STABLE_US;
+        return isBroken ? random.nextLong(MOST_JITTER_US) : config.reconnectUs();
     }
 
     @Override
--- a/src/main/java/grebewick/diameter/ServerSession.java
+++ b/src/main/java/grebewick/diameter/ServerSession.java
@@ -16,6 +16,8 @@
     boolean isAsked;
     /** The network has its request. */
     boolean sent;
+    /** Its connection was lost before its answer came. */
+    boolean isLost;
     /** It is open: its server has said so. */
     boolean stands;
     /** An earlier request for it, given up since, has opened it at this server: an answer without success leaves it open. */
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -273,7 +273,7 @@
             p1 < DWR
             wait 1901
             p1 sees the end""").until(() -> logged("p1 OKAY -> DOWN")).play("""
-            wait 1
+            wait 101
             p1 < CER
             p1 > CEA
             p1 < STR s T
@@ -313,6 +313,58 @@
             p2 > STA s""").until(() -> node.pendingTeardowns() == 0);
     }
 
+    /** Guards ends against waiting for the next connection with a server that is there: one that was of use is replaced soon. */
+    @Test
+    void aConnectionThatBreaksIsReplacedSoonUnlessItIsNewOrItsPeerHasAskedToLeave() {
+        s.play("""
+            wait 1000
+            c > AAR s
+            p1 < AAR s
+            p1 closes
+            p2 > DPR
+            p2 < DPA 2001
+            p2 closes""").until(() -> logged("p1 OKAY -> DOWN") && logged("p2 OKAY -> DOWN")).play("""
+            wait 100
+            p1 < CER
+            p1 > CEA
+            p1 < STR s
+            p1 > STA s
+            p1 < DWR
+            p1 closes""").until(() -> logged("p1 REOPEN -> DOWN")).play("""
+            wait 899
+            p1 reached 2
+            p2 reached 1
+            wait 1
+            p2 < CER
+            wait 100
+            p1 < CER
+            wait 4000
+            c < AAA s 3004 E""").until(() -> node.pendingTeardowns() == 0);
+    }
+
+    /** Guards the release time of what a request may have opened before its connection was lost: it was open until its STR. */
+    @Test
+    void theReleaseTimeAfterALostConnectionBeginsAsTheSessionIsEndedThere() {
+        s.play("wait 1000\n c > AAR s\n p1 < AAR s\n p1 closes").until(() -> logged("p1 OKAY -> DOWN")).play("""
+            wait 100
+            p1 < CER
+            p1 > CEA
+            p1 < STR s
+            p1 > STA s
+            p1 < DWR
+            p1 has no more
+            wait 499
+            p2 has no more
+            wait 1
+            p2 < AAR s T
+            p2 > AAA s 2001
+            c < AAA s 2001
+            c > STR s
+            c < STA s 2001
+            p2 < STR s
+            p2 > STA s""").until(() -> node.pendingTeardowns() == 0);
+    }
+
     /** Guards a server against a session that is open there for nobody: it may have read the STR before it opened the session. */
     @ParameterizedTest
     @ValueSource(strings = {"5002\n p1 < STR s\n p1 > STA s 2001", "2001\n p1 has no more"})
