--- a/src/main/java/grebewick/diameter/EndedSessions.java
+++ b/src/main/java/grebewick/diameter/EndedSessions.java
@@ -9,21 +9,27 @@
  * from before its start.
  */
 final class EndedSessions {
-    /** Above it the eldest is forgotten. */
+    /** Above either the eldest are forgotten. */
     static final int MOST = 4_096;
+    static final int MOST_CHARACTERS = 512 * 1024;
 
     private final Set<String> ids = new LinkedHashSet<>();
+    private int characters;
 
     void add(String sessionId) {
-        ids.remove(sessionId);
+        characters += ids.remove(sessionId) ? 0 : sessionId.length();
         ids.add(sessionId);
-        if (ids.size() > MOST) {
-            Iterator<String> eldest = ids.iterator();
-            eldest.next();
+        Iterator<String> eldest = ids.iterator();
+        while (ids.size() > MOST || characters > MOST_CHARACTERS) {
+            characters -= eldest.next().length();
             eldest.remove();
         }
     }
 
+    int size() {
+        return ids.size();
+    }
+
     boolean has(String sessionId) {
         return ids.contains(sessionId);
     }
--- a/src/main/java/grebewick/diameter/FormerTerminations.java
+++ b/src/main/java/grebewick/diameter/FormerTerminations.java
@@ -1,5 +1,6 @@
 package grebewick.diameter;
 
+import grebewick.core.ByteBudget;
 import grebewick.core.Clock;
 import grebewick.core.EventLog;
 import grebewick.core.Timers;
@@ -16,6 +17,12 @@
  * it may be at are told, those that are away when they are back, and the client has its answer from theirs.
  */
 final class FormerTerminations implements SessionTeardowns.Listener {
+    /** Bytes of memory that sessions may take until their servers are told; beyond it their clients are refused. */
+    static final int MOST_BYTES = 8 * 1024 * 1024;
+    /** Bytes of an STR beside its Session-Id, about. */
+    private static final int STR_WEIGHT = 512;
+
+    private final ByteBudget budget = new ByteBudget(MOST_BYTES);
     private final Timers timers;
     private final long answerUs;
     private final SessionTeardowns teardowns;
@@ -40,8 +47,13 @@
      */
     void terminate(String sessionId, ServerPeer first, Collection<ServerPeer> servers, LongConsumer result) {
         Termination termination = bySession.get(sessionId);
+        int weight = (STR_WEIGHT + 2 * sessionId.length()) * (1 + servers.size());
+        if (termination == null && !budget.tryTake(weight)) {
+            result.accept(DiameterException.UNABLE_TO_DELIVER);
+            return;
+        }
         if (termination == null) {
-            termination = begin(sessionId, first, servers);
+            termination = begin(sessionId, weight, first, servers);
         }
         termination.results.add(result);
         Termination waited = termination;
@@ -52,8 +64,8 @@
         });
     }
 
-    private Termination begin(String sessionId, ServerPeer first, Collection<ServerPeer> servers) {
-        Termination termination = new Termination();
+    private Termination begin(String sessionId, int weight, ServerPeer first, Collection<ServerPeer> servers) {
+        Termination termination = new Termination(weight);
         bySession.put(sessionId, termination);
         if (first == null) {
             ask(sessionId, termination, servers);
@@ -100,9 +112,11 @@
     }
 
     private void end(String sessionId, long result) {
-        List<LongConsumer> results = bySession.remove(sessionId).results;
-        List.copyOf(results).forEach(each -> each.accept(result));
-        results.clear();
+        Termination termination = bySession.remove(sessionId);
+        budget.give(termination.weight);
+        List<LongConsumer> results = List.copyOf(termination.results);
+        termination.results.clear();
+        results.forEach(each -> each.accept(result));
     }
 
     /** Who waits is answered now: this process ends. */
@@ -143,6 +157,8 @@
 
     /** One session's end, and the servers that have not answered yet. */
     private static final class Termination {
+        /** Bytes of the budget that it has. */
+        final int weight;
         final List<ServerSession> unanswered = new ArrayList<>();
         /** Servers that are asked if those before do not have it. */
         final List<ServerPeer> others = new ArrayList<>();
@@ -150,5 +166,9 @@
         final List<LongConsumer> results = new ArrayList<>();
         /** A server could not be told. */
         boolean isUntold;
+
+        Termination(int weight) {
+            this.weight = weight;
+        }
     }
 }
--- a/src/test/java/grebewick/diameter/DiameterRestartTest.java
+++ b/src/test/java/grebewick/diameter/DiameterRestartTest.java
@@ -249,6 +249,18 @@
         assertThat(refused).isEqualTo(4);
     }
 
+    /** Guards the memory against ends of unknown sessions under long names, whose servers do not answer. */
+    @Test
+    void endsOfUnknownSessionsUnderLongNamesAreRefusedBeyondTheirBudget() {
+        String name = "x".repeat(8_000);
+        int many = FormerTerminations.MOST_BYTES / (3 * 2 * name.length()) + 1;
+        for (int i = 0; i < many; i++) {
+            s.play("c > STR c;" + i + ";" + name + " to=p1");
+        }
+        String refused = s.next("c");
+        assertThat(refused.substring(refused.length() - 6)).isEqualTo("3002 E");
+    }
+
     /** Guards against a session at two servers: the request that the killed process had out may have opened one. */
     @Test
     void whatAFormerProcessMayHaveOpenedForARepeatedRequestIsEnded() {
