Diameter: a mute server is cut off only for a request that waits to go elsewhere

Cause: a server that did not hear of a give-up for 2 s lost its connection also where the client had left and nobody waited. Change: it is cut off while an attempt is held back (Gatekeeper.isHeldBack).

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -138,7 +138,8 @@
                     node.refuseCalls();
                 }
                 long endUs = toldUs + STILL_COMING_US + Math.min(longestUs, LONGEST_US);
-                new GracefulShutdown(clock, timers, endUs, this::pendingWork, this::activity, Daemon::log, this::lastWords,
+                long leaveUs = endUs - (diameter == null ? 0 : MOST_LEAVE_US);
+                new GracefulShutdown(clock, timers, leaveUs, this::pendingWork, this::activity, Daemon::log, this::lastWords,
                     () -> leave(endUs)).start();
             });
         });
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -167,6 +167,12 @@
         });
     }
 
+    /** Whether an attempt of the call waits until the one before it is over at its server. */
+    public boolean isHeldBack(long id) {
+        CallState<P> call = calls.find(id);
+        return call != null && call.attempt != null && call.attempt.isHeld;
+    }
+
     private void endHold(long id, long copy) {
         CallState<P> call = calls.find(id);
         if (call != null && call.attempt != null && call.attempt.copy == copy && call.attempt.isHeld) {
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -60,7 +60,7 @@
         this.log = log;
         teardowns = new SessionTeardowns(me, clock, timers, new EventLog(log, clock), new OwnTeardowns());
         formerSessions = new FormerTerminations(me, config.requestUs(), clock, timers, new EventLog(log, clock));
-        giveUps = new UnheardGiveUps(timers, teardowns::isTold, call -> core.giveUpHeard(call));
+        giveUps = new UnheardGiveUps(timers, teardowns::isTold, call -> core.isHeldBack(call), call -> core.giveUpHeard(call));
         startedUs = clock.nowUs();
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
             .setConnectTimeout((int) Math.max(1, config.settings().bounds().connectTimeoutUs() / 1000)));
--- a/src/main/java/grebewick/diameter/UnheardGiveUps.java
+++ b/src/main/java/grebewick/diameter/UnheardGiveUps.java
@@ -8,32 +8,37 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongConsumer;
+import java.util.function.LongPredicate;
 import java.util.function.Predicate;
 
 /**
  * Requests that were given up, until their servers are known to have heard so. A server reads what comes on one connection in
  * order, so it has heard of the STR once it answers that, or a watchdog request that was written after it. One that answers
- * neither in time is cut off, as another server may have the request only then.
+ * neither in time is cut off if another server waits for the request, as it may have that only then.
  */
 final class UnheardGiveUps {
     /** us. After which a server that has not answered the STR is asked by a watchdog request. */
     static final long ASK_AFTER_US = 100_000;
-    /** us. After which a server that has answered neither loses its connection. */
+    /** us. After which a server that has answered neither loses its connection, if another one waits for the request. */
     static final long MOST_US = 2_000_000;
+    /** us. Between later looks whether one does. */
+    private static final long LOOK_US = 250_000;
 
     private final Timers timers;
     /** Whether the STR of a request has left. */
     private final Predicate<ServerSession> isTold;
+    private final LongPredicate isAwaited;
     private final LongConsumer heard;
     /** By the core's number of the call: no call has two. */
     private final Map<Long, ServerSession> byCall = new HashMap<>();
     /** Connections on which a watchdog request waits for its answer. */
     private final Set<Connection> asked = new HashSet<>();
 
-    /** {@code heard} is told of each call whose server has heard. */
-    UnheardGiveUps(Timers timers, Predicate<ServerSession> isTold, LongConsumer heard) {
+    /** {@code isAwaited}: whether a call's next attempt is held back; {@code heard} is told of each whose server has heard. */
+    UnheardGiveUps(Timers timers, Predicate<ServerSession> isTold, LongPredicate isAwaited, LongConsumer heard) {
         this.timers = timers;
         this.isTold = isTold;
+        this.isAwaited = isAwaited;
         this.heard = heard;
     }
 
@@ -90,8 +95,13 @@
     }
 
     private void cutOff(ServerSession request) {
-        if (byCall.get(request.call) == request) {
+        if (byCall.get(request.call) != request) {
+            return;
+        }
+        if (isAwaited.test(request.call)) {
             request.at.cutOff("it does not hear that a request was given up");
+        } else {
+            timers.after(LOOK_US, () -> cutOff(request));
         }
     }
 }
