Diameter: at a planned end no client is asked to leave while a session is open

Cause: a client without sessions of this process was asked to leave at SIGTERM, while another one's sessions kept the servers connected. The end of a session from before the start could then come to a process that had no way to its client. Found by reading the change. Change: while any session is open, all clients stay until the servers have heard of the leave. Test: aClientStaysWhileAnotherOnesSessionKeepsTheServersConnected, which failed before; Diameter's tests passed.

--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -104,8 +104,8 @@
     }
 
     /**
-     * New sessions are refused, and each client is asked to go once it has what it waits for. One with open sessions may yet be
-     * told of their ends, and is asked when the servers have left.
+     * New sessions are refused, and each client is asked to go once it has what it waits for. While a session is open the servers
+     * stay connected, and may say the end of any client's: then all are asked when the servers have left.
      */
     void stop() {
         stopping = true;
@@ -135,13 +135,13 @@
     /** What a client has asked for is lost with its connection: the DPR comes after the last answer and the last end. */
     private void askToLeave(Connection c) {
         if (stopping && c.isOpen() && !waiting.containsKey(c) && !teardowns.owes(c.peer())
-            && (serversHaveLeft || !hasOpenSession(c.peer())) && askedToLeave.add(c)) {
+            && (serversHaveLeft || !hasOpenSession()) && askedToLeave.add(c)) {
             c.disconnect();
         }
     }
 
-    private boolean hasOpenSession(String client) {
-        return sessions.values().stream().anyMatch(s -> s.answered && !s.aborted && s.client.equals(client));
+    private boolean hasOpenSession() {
+        return sessions.values().stream().anyMatch(s -> s.answered && !s.aborted);
     }
 
     // ---- connections
@@ -342,7 +342,7 @@
         if (!s.aborted) {
             core.releasedByCaller(s.call);
         }
-        askToLeave(on);
+        askAllToLeave();
     }
 
     /** One that this process has not set up: it may stand at a server from before this process started. */
--- a/src/test/java/grebewick/diameter/DiameterRestartTest.java
+++ b/src/test/java/grebewick/diameter/DiameterRestartTest.java
@@ -326,6 +326,29 @@
             n0 has ended""");
     }
 
+    /** A client without sessions of this process may have some from before it: it stays for as long as servers may say so. */
+    @Test
+    void aClientStaysWhileAnotherOnesSessionKeepsTheServersConnected() {
+        s.play("b > CER\n b < CEA 2001");
+        stands("c;1;1");
+        s.play("""
+            n0 is told to end
+            b has no more
+            p1 > ASR b;1;1
+            b < ASR b;1;1
+            b > ASA b;1;1
+            p1 < ASA b;1;1 2001
+            p1 < STR b;1;1
+            p1 > STA b;1;1
+            b has no more
+            c > STR c;1;1
+            c < STA c;1;1 2001
+            p1 < STR c;1;1
+            p1 > STA c;1;1
+            b < DPR
+            c < DPR""");
+    }
+
     /** Guards ends against a process that has no client left to tell: its servers keep them for the next one. */
     @Test
     void itTakesLeaveOfItsServersOnceItHasNoClient() {
