Diameter: ends of unknown sessions on one connection leave room for those of others

Cause: the budget of one connection was that of the process, so that one client could take all of it: the check could not fail. Those over it were told 5002, which ends the session for their client. Found by reading the change. Change: a connection has half of the budget; a name counts for one more with each 256 characters; over it the answer is 3004.

--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -37,11 +37,16 @@
     private static final int BACKLOG_HEAP_PART = 8;
     /** Copies of a request that are held until its answer: as it came, and as it was sent on. */
     private static final int COPIES = 2;
-    /** Ends of sessions that nobody here knows: so many at once, and in a second. Each goes to all servers. */
+    /** Ends of sessions that nobody here knows: so many at once, and in a second. Each may go to all servers. */
     private static final int UNKNOWN_ENDS = 4_096;
     private static final int UNKNOWN_ENDS_A_S = 256;
+    /** The part of these that one connection may take is one in so many. */
+    private static final int UNKNOWN_ENDS_PART = 2;
+    /** Characters of a Session-Id from which its end counts for one more. */
+    private static final int LONG_NAME = 256;
     /** us. What a refused client is told where the module gives no advice. */
     private static final long COME_BACK_US = 1_000_000;
+
     private final DiameterConfig config;
     private final Identity me;
     private final Gatekeeper<DiameterMessage> core;
@@ -348,9 +353,12 @@
     /** One that this process has not set up: it may stand at a server from before this process started. */
     private void terminateFormerSession(Connection on, DiameterMessage m) {
         String id = m.text(Avp.SESSION_ID);
-        if (ended.has(id) || !SessionIds.mayBeOf(on.peer(), id) || !mayEndUnknown(on)) {
+        if (ended.has(id) || !SessionIds.mayBeOf(on.peer(), id)) {
             throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
         }
+        if (!mayEndUnknown(on, id)) {
+            throw new DiameterException(DiameterException.TOO_BUSY, "too many ends of unknown sessions", null);
+        }
         formerSessionServers.terminate(id, m.text(Avp.DESTINATION_HOST), result -> {
             if (result != DiameterException.UNABLE_TO_DELIVER) {
                 ended.add(id);
@@ -359,10 +367,16 @@
         });
     }
 
-    /** Guards the servers against the ends of sessions that nobody has set up, under ever new names. */
-    private boolean mayEndUnknown(Connection on) {
-        TokenBucket own = unknownEndsOf.computeIfAbsent(on, c -> new TokenBucket(UNKNOWN_ENDS, UNKNOWN_ENDS_A_S));
-        return own.tryTake(1, clock.nowUs()) && unknownEnds.tryTake(1, clock.nowUs());
+    /**
+     * Guards the servers against the ends of sessions that nobody has set up, under ever new and long names, and the ends of
+     * other clients against one connection that takes all.
+     */
+    private boolean mayEndUnknown(Connection on, String sessionId) {
+        long nowUs = clock.nowUs();
+        int cost = 1 + sessionId.length() / LONG_NAME;
+        TokenBucket own = unknownEndsOf.computeIfAbsent(on,
+            c -> new TokenBucket(UNKNOWN_ENDS / UNKNOWN_ENDS_PART, UNKNOWN_ENDS_A_S / UNKNOWN_ENDS_PART));
+        return own.tryTake(cost, nowUs) && unknownEnds.tryTake(cost, nowUs);
     }
 
     /** Who knows whether the server of a call could be told of its end now. */
--- a/src/test/java/grebewick/diameter/DiameterRestartTest.java
+++ b/src/test/java/grebewick/diameter/DiameterRestartTest.java
@@ -236,29 +236,45 @@
     @Test
     void noClientEndsAnothersSessionNorFloodsTheServersWithUnknownOnes() {
         s.play("b > CER\n b < CEA 2001\n b > STR c;1;1\n b < STA c;1;1 5002\n p1 has no more\n p2 has no more");
-        int many = 4_100;
+        int most = 2_048;
+        int refused = 2_100;
         StringBuilder flood = new StringBuilder();
-        for (int i = 0; i < many; i++) {
+        for (int i = 0; i < most + refused; i++) {
             flood.append("c > STR c;2;").append(i).append(" to=p1\n");
         }
         s.play(flood.toString());
-        int refused = 0;
-        for (int i = 0; i < many - 4_096; i++) {
-            refused += s.next("c").endsWith("5002") ? 1 : 0;
+        for (int i = 0; i < refused; i++) {
+            assertThat(s.next("c")).endsWith("3004 E");
         }
-        assertThat(refused).isEqualTo(4);
+        s.play("c has no more\n b > STR b;1;1 to=p2\n p2 < STR b;1;1\n p2 > STA b;1;1\n b < STA b;1;1 2001");
+    }
+
+    /** A client ends so many sessions that nobody knows, each under a name that counts for 32. */
+    private void endsUnder(String client, int first, int count) {
+        for (int i = first; i < first + count; i++) {
+            s.play(client + " > STR " + client + ";" + i + ";" + "x".repeat(8_000) + " to=p1");
+        }
+    }
+
+    private String nextResult(String client) {
+        String answer = s.next(client);
+        return answer.substring(answer.lastIndexOf('x') + 2);
     }
 
     /** Guards the memory against ends of unknown sessions under long names, whose servers do not answer. */
     @Test
     void endsOfUnknownSessionsUnderLongNamesAreRefusedBeyondTheirBudget() {
-        String name = "x".repeat(8_000);
-        int many = FormerTerminations.MOST_BYTES / (3 * 2 * name.length()) + 1;
-        for (int i = 0; i < many; i++) {
-            s.play("c > STR c;" + i + ";" + name + " to=p1");
-        }
-        String refused = s.next("c");
-        assertThat(refused.substring(refused.length() - 6)).isEqualTo("3002 E");
+        s.play("b > CER\n b < CEA 2001");
+        endsUnder("c", 0, 64);
+        s.play("c has no more");
+        endsUnder("c", 64, 1);
+        assertThat(nextResult("c")).as("more than its connection may ask").isEqualTo("3004 E");
+        endsUnder("b", 0, 64);
+        s.play("b has no more\n wait 8000");
+        endsUnder("c", 65, 32);
+        s.play("c has no more");
+        endsUnder("b", 64, 32);
+        assertThat(nextResult("b")).as("more than all may hold").isEqualTo("3002 E");
     }
 
     /** Guards against a session at two servers: the request that the killed process had out may have opened one. */
