Diameter: the end of a session is confirmed once its other side has heard it

Callers would see: a server's ASR was answered 2001, and a client's STR too, while the other side was away and had heard nothing. What was still to be told was known to the process alone: with a SIGKILL then, the session was left standing there, and nobody said its end again, as it was confirmed. Cause: the answer went out as the end was taken, not as it was told. Change: an ASR is answered, and followed by the STR, once the client has confirmed the end (60 s for one that is away); an STR is answered by what the server says, or 3002 after request_ms. An STR or ASR that is repeated meanwhile waits with the first; an ASR that is repeated after its client has confirmed is answered 5002, where it got no answer. At SIGTERM who still waits for a server gets 3002. AwaitedResult holds who waits, for FormerTerminations too; SessionServers is the front's one port to the servers.

--- a/src/main/java/grebewick/diameter/ClientTeardowns.java
+++ b/src/main/java/grebewick/diameter/ClientTeardowns.java
@@ -105,6 +105,11 @@
         return untold.containsKey(client);
     }
 
+    /** Whether an end is yet to be told or confirmed. */
+    boolean isPending(End end) {
+        return teardowns.owes(end);
+    }
+
     void opened(Connection on) {
         teardowns.found(on);
     }
--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -13,7 +13,6 @@
 import grebewick.core.TokenBucket;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -23,7 +22,6 @@
 import java.util.UUID;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
-import java.util.function.LongPredicate;
 
 /** The clients' side over Diameter: sessions from AAR to STR or ASR (NASREQ, RFC 7155). */
 final class DiameterFront implements Connection.Owner {
@@ -68,9 +66,7 @@
     private final ClientTeardowns teardowns;
     private final TokenBucket unknownEnds = new TokenBucket(UNKNOWN_ENDS, UNKNOWN_ENDS_A_S);
     private final Map<Connection, TokenBucket> unknownEndsOf = new HashMap<>();
-    private FormerSessionServers formerSessionServers = (id, server, result) -> result
-        .accept(DiameterException.UNKNOWN_SESSION_ID);
-    private LongPredicate canRelease = call -> true;
+    private SessionServers servers;
     private boolean stopping;
     private boolean serversHaveLeft;
     private long taken;
@@ -335,19 +331,33 @@
         if (!s.answered) {
             throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
         }
-        if (!s.aborted && stopping && !canRelease.test(s.call)) {
+        if (s.aborted) {
+            forget(s);
+            on.send(m.answer(me, SUCCESS));
+            if (s.end != null) {
+                teardowns.told(s.end);
+            }
+            askAllToLeave();
+        } else {
+            terminateOpen(s, on, m);
+        }
+    }
+
+    /** Its client is answered once its server has heard, or may ask again after a time. */
+    private void terminateOpen(Session s, Connection on, DiameterMessage m) {
+        if (stopping && !s.isTerminated && !servers.canRelease(s.call)) {
             // It stands on: its client may end it through the next process.
             throw new DiameterException(DiameterException.UNABLE_TO_DELIVER, "its server is not connected any more", null);
         }
-        forget(s);
-        on.send(m.answer(me, SUCCESS));
-        if (s.end != null) {
-            teardowns.told(s.end);
-        }
-        if (!s.aborted) {
-            core.releasedByCaller(s.call);
+        s.endForClient.await(result -> on.send(m.answer(me, result)), timers, config.requestUs());
+        if (!s.isTerminated) {
+            s.isTerminated = true;
+            servers.terminate(s.call, result -> {
+                forget(s);
+                s.endForClient.tell(result);
+                askAllToLeave();
+            });
         }
-        askAllToLeave();
     }
 
     /** One that this process has not set up: it may stand at a server from before this process started. */
@@ -359,7 +369,7 @@
         if (!mayEndUnknown(on, id)) {
             throw new DiameterException(DiameterException.TOO_BUSY, "too many ends of unknown sessions", null);
         }
-        formerSessionServers.terminate(id, m.text(Avp.DESTINATION_HOST), result -> {
+        servers.terminateFormerSession(id, m.text(Avp.DESTINATION_HOST), result -> {
             if (result != DiameterException.UNABLE_TO_DELIVER) {
                 ended.add(id);
             }
@@ -379,30 +389,29 @@
         return own.tryTake(cost, nowUs) && unknownEnds.tryTake(cost, nowUs);
     }
 
-    /** Who knows whether the server of a call could be told of its end now. */
-    void onRelease(LongPredicate possible) {
-        canRelease = possible;
+    /** Names the servers that are told of the ends of sessions, before anything is accepted. */
+    void attach(SessionServers sessionServers) {
+        servers = sessionServers;
     }
 
-    /** Who tells the servers that a client ends a session which this process has not set up. */
-    void onFormerSessionTerminated(FormerSessionServers told) {
-        formerSessionServers = told;
+    /** Clients that wait to hear of the ends of their sessions are told that their servers could not be. */
+    void answerAll() {
+        sessions.values().forEach(s -> s.endForClient.tell(DiameterException.UNABLE_TO_DELIVER));
     }
 
     /**
-     * A server has ended a session which this process has not set up: its client is told, now or as it is back, and
-     * {@code result} takes the code for the server after that.
+     * A server has ended a session: its client is told, now or as it is back, and {@code result} takes the code for the server
+     * after that. One that this process has not set up may stand from before its start.
      */
-    void abortFormerSession(String id, LongConsumer result) {
+    void abort(String id, LongConsumer result) {
         Session known = sessions.get(id);
-        if (known != null && known.end != null && known.isOfFormerProcess()) {
-            // It has said so before, and its connection was lost since.
-            known.formerResults.add(result);
+        if (known != null && known.end != null && teardowns.isPending(known.end)) {
+            known.endForServer.await(result);
         } else if (known != null || ended.has(id)) {
             result.accept(DiameterException.UNKNOWN_SESSION_ID);
         } else {
             Session former = new Session(id);
-            former.formerResults.add(result);
+            former.endForServer.await(result);
             sessions.put(id, former);
             former.abort(realmOf(former.client), null);
         }
@@ -430,13 +439,6 @@
         return sessions.size();
     }
 
-    /** Tells the servers that a client ends a session which this process has not set up. */
-    @FunctionalInterface
-    interface FormerSessionServers {
-        /** {@code server}: which one the client means, empty if none; {@code result} takes the code for the client. */
-        void terminate(String sessionId, String server, LongConsumer result);
-    }
-
     /** One session on this side. */
     private final class Session implements Callers<DiameterMessage> {
         final String id;
@@ -452,8 +454,12 @@
         boolean aborted;
         /** What its client is to be told of its end; null: nothing. */
         ClientTeardowns.End end;
-        /** What servers wait for that have ended it, where it stood before this process started. */
-        final List<LongConsumer> formerResults = new ArrayList<>();
+        /** What servers wait for that have ended it: whether its client has heard. */
+        final AwaitedResult endForServer = new AwaitedResult();
+        /** What its client waits for that has ended it: whether its server has heard. */
+        final AwaitedResult endForClient = new AwaitedResult();
+        /** Its client has ended it, and its server has not answered yet. */
+        boolean isTerminated;
         /** Bytes of the budget that it has. */
         private int weight;
 
@@ -472,10 +478,6 @@
             answered = true;
         }
 
-        boolean isOfFormerProcess() {
-            return request == null;
-        }
-
         /** Takes what its request needs until it is answered; false: there is no room. */
         boolean takeMemory() {
             int wanted = COPIES * request.weight();
@@ -544,8 +546,7 @@
             end = teardowns.abort(id, client, realm, first, result -> {
                 // The client ends the session with an STR; one that stays away has no session to come back to.
                 timers.after(config.requestUs(), () -> forget(this));
-                List.copyOf(formerResults).forEach(each -> each.accept(result));
-                formerResults.clear();
+                endForServer.tell(result);
             });
         }
     }
--- a/src/main/java/grebewick/diameter/DiameterNode.java
+++ b/src/main/java/grebewick/diameter/DiameterNode.java
@@ -51,9 +51,8 @@
         core = new Gatekeeper<>(config.settings(), new Logic(config.settings(), seed), clock, timers, servers,
             (peer, bytes) -> {}, log);
         front = new DiameterFront(config, me, core, clock, timers, log);
-        servers.onFormerSessionAborted(front::abortFormerSession);
-        front.onFormerSessionTerminated(servers::terminateFormerSession);
-        front.onRelease(servers::canRelease);
+        servers.onAbort(front::abort);
+        front.attach(servers);
     }
 
     /** Connects to the servers and listens for clients. */
@@ -116,6 +115,7 @@
     public void answerAll() {
         core.answerAll();
         servers.answerAll();
+        front.answerAll();
     }
 
     /**
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -20,6 +20,7 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +31,7 @@
 import java.util.function.LongConsumer;
 
 /** The core's port to the authorising servers: sessions are asked for, answered and ended there. */
-final class DiameterServers implements Servers<DiameterMessage>, ServerPeer.Listener {
+final class DiameterServers implements Servers<DiameterMessage>, SessionServers, ServerPeer.Listener {
     /** us. After a start, in which clients repeat what they have asked the process before it. */
     private static final long REPEATED_US = 60_000_000;
 
@@ -43,14 +44,15 @@
     private final FormerTerminations formerSessions;
     private final UnheardGiveUps giveUps;
     private final SilenceMonitor<ServerPeer> silence = new SilenceMonitor<>(LeaseTimes.DEFAULT);
-    /** Sessions that servers have ended which this process has not set up, until their clients have heard of it. */
-    private final Set<String> formerAborts = new HashSet<>();
+    /** Sessions that servers have ended, until their clients have heard of it. */
+    private final Set<String> untoldAborts = new HashSet<>();
+    /** Sessions that clients have ended, until their servers have answered; who is told what they have said. */
+    private final Map<ServerSession, LongConsumer> terminations = new HashMap<>();
     private final Identity me;
     private final NetClient client;
     private final long startedUs;
     private long taken;
-    private BiConsumer<String, LongConsumer> formerSessionClients = (id, result) -> result
-        .accept(DiameterException.UNKNOWN_SESSION_ID);
+    private BiConsumer<String, LongConsumer> clients = (id, result) -> result.accept(DiameterException.UNKNOWN_SESSION_ID);
     private Gatekeeper<DiameterMessage> core;
 
     DiameterServers(Vertx vertx, DiameterConfig config, Identity me, Clock clock, Timers timers, Consumer<String> log) {
@@ -93,19 +95,33 @@
         }
     }
 
-    /**
-     * Who tells a client that its server has ended a session which this process has not set up; it is given the code for the
-     * server once the client has heard of it.
-     */
-    void onFormerSessionAborted(BiConsumer<String, LongConsumer> told) {
-        formerSessionClients = told;
+    /** Who tells a client that its server has ended a session; it gives the code for the server once the client has heard. */
+    void onAbort(BiConsumer<String, LongConsumer> told) {
+        clients = told;
     }
 
-    /**
-     * Ends a session which this process has not set up, for its client: at the server named, if there is one and it has it, or at
-     * whichever has it. {@code result} takes the code for the client.
-     */
-    void terminateFormerSession(String sessionId, String host, LongConsumer result) {
+    /** A client that was answered before its server has would not end the session again through the next process. */
+    @Override
+    public void terminate(long call, LongConsumer result) {
+        ServerSession session = sessions.ofCall(call);
+        if (session != null) {
+            terminations.put(session, result);
+        }
+        core.releasedByCaller(call);
+        if (session == null) {
+            result.accept(SUCCESS);
+        }
+    }
+
+    private void settle(ServerSession session, long result) {
+        LongConsumer waiting = terminations.remove(session);
+        if (waiting != null) {
+            waiting.accept(result);
+        }
+    }
+
+    @Override
+    public void terminateFormerSession(String sessionId, String host, LongConsumer result) {
         formerSessions.terminate(sessionId, peers.get(host), peers.values(), result);
     }
 
@@ -130,8 +146,8 @@
         return client.close();
     }
 
-    /** Whether the server of a standing session could be told of its end now. */
-    boolean canRelease(long call) {
+    @Override
+    public boolean canRelease(long call) {
         ServerSession session = sessions.ofCall(call);
         return session != null && session.at.isOpen();
     }
@@ -328,25 +344,31 @@
             on.send(m.answer(me, SUCCESS));
             return;
         }
-        if (session == null) {
-            abortFormerSession(peer, on, m);
+        if (session != null && !session.stands) {
+            on.send(m.answer(me, SUCCESS));
+            sessions.remove(session);
+            teardowns.terminate(session, Cause.ADMINISTRATIVE);
+            core.ended(session.call, session.copy, State.RESET_BY_PEER, 0, List.of());
             return;
         }
-        on.send(m.answer(me, SUCCESS));
-        sessions.remove(session);
-        teardowns.terminate(session, Cause.ADMINISTRATIVE);
-        core.over(session.call, Ending.CUT, List.of());
-        core.ended(session.call, session.copy, State.RESET_BY_PEER, 0, List.of());
+        if (session != null) {
+            sessions.remove(session);
+            core.over(session.call, Ending.CUT, List.of());
+        }
+        abortAtClient(peer, on, m, session);
     }
 
-    /** Its client has the session, where it stood before this process started: the server is answered once that has heard. */
-    private void abortFormerSession(ServerPeer peer, Connection on, DiameterMessage m) {
+    /**
+     * The server is answered once the client has heard: a process that is killed before has confirmed nothing, and the server
+     * says it again. {@code own} is null for a session from before this process started.
+     */
+    private void abortAtClient(ServerPeer peer, Connection on, DiameterMessage m, ServerSession own) {
         String id = m.text(Avp.SESSION_ID);
-        boolean isFirst = formerAborts.add(id);
-        formerSessionClients.accept(id, result -> {
+        boolean isFirst = untoldAborts.add(id);
+        clients.accept(id, result -> {
             on.send(m.answer(me, result));
-            if (isFirst && formerAborts.remove(id) && result == SUCCESS) {
-                teardowns.terminate(ServerSession.ofFormerProcess(peer, id), Cause.ADMINISTRATIVE);
+            if (isFirst && untoldAborts.remove(id) && (own != null || result == SUCCESS)) {
+                teardowns.terminate(own == null ? ServerSession.ofFormerProcess(peer, id) : own, Cause.ADMINISTRATIVE);
             }
         });
     }
@@ -381,6 +403,7 @@
     public void restarted(ServerPeer peer) {
         List<ServerSession> lost = sessions.removeAllAt(peer);
         teardowns.forgetAllAt(peer);
+        List.copyOf(terminations.keySet()).stream().filter(ended -> ended.at == peer).forEach(ended -> settle(ended, SUCCESS));
         formerSessions.restarted(peer);
         tell(Scope.COMPLETE, Map.of(peer.host(), peer.startedAtUs()));
         for (ServerSession session : lost) {
@@ -402,6 +425,8 @@
     private final class OwnTeardowns implements SessionTeardowns.Listener {
         @Override
         public void answered(ServerSession session, long result) {
+            // Whatever it says, it has no such session now.
+            settle(session, SUCCESS);
             giveUps.answered(session);
             if (session.isLost) {
                 // What it may have opened was open until now: its release time begins anew.
@@ -411,7 +436,7 @@
 
         @Override
         public void abandoned(ServerSession session) {
-            // A server that has not heard of a request's end loses its connection.
+            settle(session, DiameterException.UNABLE_TO_DELIVER);
         }
     }
 }
--- a/src/main/java/grebewick/diameter/FormerTerminations.java
+++ b/src/main/java/grebewick/diameter/FormerTerminations.java
@@ -55,13 +55,7 @@
         if (termination == null) {
             termination = begin(sessionId, weight, first, servers);
         }
-        termination.results.add(result);
-        Termination waited = termination;
-        timers.after(answerUs, () -> {
-            if (waited.results.remove(result)) {
-                result.accept(DiameterException.UNABLE_TO_DELIVER);
-            }
-        });
+        termination.result.await(result, timers, answerUs);
     }
 
     private Termination begin(String sessionId, int weight, ServerPeer first, Collection<ServerPeer> servers) {
@@ -114,23 +108,19 @@
     private void end(String sessionId, long result) {
         Termination termination = bySession.remove(sessionId);
         budget.give(termination.weight);
-        List<LongConsumer> results = List.copyOf(termination.results);
-        termination.results.clear();
-        results.forEach(each -> each.accept(result));
+        termination.result.tell(result);
     }
 
     /** Who waits is answered now: this process ends. */
     void answerAll() {
         for (Termination termination : List.copyOf(bySession.values())) {
-            List<LongConsumer> results = List.copyOf(termination.results);
-            termination.results.clear();
-            results.forEach(each -> each.accept(DiameterException.UNABLE_TO_DELIVER));
+            termination.result.tell(DiameterException.UNABLE_TO_DELIVER);
         }
     }
 
     /** Clients that wait for their answer. */
     int pending() {
-        return (int) bySession.values().stream().filter(termination -> !termination.results.isEmpty()).count();
+        return (int) bySession.values().stream().filter(termination -> termination.result.isAwaited()).count();
     }
 
     /** A connection to a server can be written to. */
@@ -163,7 +153,7 @@
         /** Servers that are asked if those before do not have it. */
         final List<ServerPeer> others = new ArrayList<>();
         /** What its client's requests wait for. */
-        final List<LongConsumer> results = new ArrayList<>();
+        final AwaitedResult result = new AwaitedResult();
         /** A server could not be told. */
         boolean isUntold;
 
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -75,9 +75,9 @@
             p1 > AAA s 2001
             c < AAA s 2001
             c > STR s
-            c < STA s 2001
             p1 < STR s
             p1 > STA s
+            c < STA s 2001
             c > STR s
             c < STA s 5002
             c has no more""");
@@ -91,10 +91,12 @@
             p1 > AAA s 2001
             c < AAA s 2001
             p1 > ASR s
-            p1 < ASA s 2001
-            p1 < STR s
             c < ASR s
+            p1 has no more
             c > ASA s
+            p1 < ASA s 2001
+            p1 < STR s
+            p1 > STA s
             c > STR s
             c < STA s 2001
             p1 > ASR s
@@ -136,8 +138,9 @@
             p1 has no more
             p2 has no more
             c > STR s
-            c < STA s 2001
-            p1 < STR s""");
+            p1 < STR s
+            p1 > STA s
+            c < STA s 2001""");
     }
 
     /** A session that is asked for is ended by its own client alone. */
@@ -154,8 +157,9 @@
             p1 > AAA s 2001
             c < AAA s 2001
             c > STR s
-            c < STA s 2001
-            p1 < STR s""");
+            p1 < STR s
+            p1 > STA s
+            c < STA s 2001""");
     }
 
     @Test
@@ -197,8 +201,9 @@
             p2 > AAA s 2001
             c < AAA s 2001
             c > STR s
-            c < STA s 2001
-            p2 < STR s""");
+            p2 < STR s
+            p2 > STA s
+            c < STA s 2001""");
     }
 
     /** Guards against a call that is out at two servers while the requests of one stall (review/6). */
@@ -225,9 +230,9 @@
             p1 > STA s
             c has no more
             c > STR s
-            c < STA s 2001
             p2 < STR s
-            p2 > STA s""").until(() -> node.pendingTeardowns() == 0);
+            p2 > STA s
+            c < STA s 2001""").until(() -> node.pendingTeardowns() == 0);
     }
 
     /** The hard case of a peer whose watchdog answers while its requests stall, STRs too: it has read what was sent before. */
@@ -251,8 +256,9 @@
             p2 > AAA s 2001
             c < AAA s 2001
             c > STR s
-            c < STA s 2001
-            p2 < STR s""");
+            p2 < STR s
+            p2 > STA s
+            c < STA s 2001""");
     }
 
     /** Guards calls against waiting for a server that answers nothing, and its sessions against its being cut off for that. */
@@ -295,13 +301,13 @@
             p1 has no more
             c has no more
             c > STR stands
-            c < STA stands 2001
             p1 < STR stands
             p1 > STA stands
+            c < STA stands 2001
             c > STR s
-            c < STA s 2001
             p2 < STR s
-            p2 > STA s""").until(() -> node.pendingTeardowns() == 0);
+            p2 > STA s
+            c < STA s 2001""").until(() -> node.pendingTeardowns() == 0);
     }
 
     /** Guards a server's sessions against its being cut off for a request that nobody waits to send elsewhere. */
@@ -337,9 +343,9 @@
             p1 > STA s
             p1 < DWR
             c > STR s
-            c < STA s 2001
             p2 < STR s
-            p2 > STA s""").until(() -> node.pendingTeardowns() == 0);
+            p2 > STA s
+            c < STA s 2001""").until(() -> node.pendingTeardowns() == 0);
     }
 
     /** Guards ends against waiting for the next connection with a server that is there: one that was of use is replaced soon. */
@@ -389,9 +395,9 @@
             p2 > AAA s 2001
             c < AAA s 2001
             c > STR s
-            c < STA s 2001
             p2 < STR s
-            p2 > STA s""").until(() -> node.pendingTeardowns() == 0);
+            p2 > STA s
+            c < STA s 2001""").until(() -> node.pendingTeardowns() == 0);
     }
 
     /** Guards a server against a session that is open there for nobody: it may have read the STR before it opened the session. */
@@ -424,8 +430,9 @@
             p2 has no more
             c has no more
             c > STR s
-            c < STA s 2001
-            p2 < STR s""");
+            p2 < STR s
+            p2 > STA s
+            c < STA s 2001""");
     }
 
     /** Guards a server against a session that an earlier request has opened there, where the present one is refused. */
@@ -500,8 +507,9 @@
             c < AAA s 2001
             p1 has no more
             c > STR s
-            c < STA s 2001
-            p2 < STR s""");
+            p2 < STR s
+            p2 > STA s
+            c < STA s 2001""");
     }
 
     /** A peer that comes back proves itself by three watchdogs, and is cold then. */
@@ -519,8 +527,9 @@
             p1 > DWA
             p1 has no more
             c > STR s
-            c < STA s 2001
-            p2 < STR s""");
+            p2 < STR s
+            p2 > STA s
+            c < STA s 2001""");
         assertThat(logged("p1 DOWN -> REOPEN") && !logged("REOPEN -> OKAY")).isTrue();
     }
 
@@ -547,8 +556,9 @@
             c < AAA s 2001
             p1 has no more
             c > STR s
-            c < STA s 2001
-            p1 < STR s""");
+            p1 < STR s
+            p1 > STA s
+            c < STA s 2001""");
     }
 
     @Test
@@ -596,16 +606,17 @@
             p1 > AAA s 2001
             c < AAA s 2001
             c > STR s
-            c < STA s 2001
             p1 < STR s
             p1 closes""").until(() -> logged("p1 OKAY -> DOWN"));
         assertThat(s.on(() -> node.pendingTeardowns())).isEqualTo(1);
         s.play("""
+            c has no more
             wait 1000
             p1 < CER
             p1 > CEA
             p1 < STR s T
-            p1 > STA s""").until(() -> node.pendingTeardowns() == 0);
+            p1 > STA s
+            c < STA s 2001""").until(() -> node.pendingTeardowns() == 0);
     }
 
     /** Guards clients against sessions at a server that is gone for good: nobody else would tell them. */
@@ -679,9 +690,9 @@
             wait 2700
             c has no more
             c > STR s
-            c < STA s 2001
             p1 < STR s
-            p1 > STA s""");
+            p1 > STA s
+            c < STA s 2001""");
     }
 
     /** Guards clients against sessions that ended while they were away. */
@@ -694,13 +705,15 @@
             c < AAA s 2001
             c closes""").until(() -> logged("client c OKAY -> DOWN")).play("""
             p1 > ASR s
-            p1 < ASA s 2001
-            p1 < STR s
-            p1 > STA s
+            p1 has no more
             c > CER
             c < CEA 2001
             c < ASR s
+            p1 has no more
             c > ASA s
+            p1 < ASA s 2001
+            p1 < STR s
+            p1 > STA s
             c > STR s
             c < STA s 2001""").until(() -> node.pendingTeardowns() == 0);
     }
@@ -770,8 +783,9 @@
             p1 has no more
             p2 has no more
             c2 > STR s
-            c2 < STA s 2001
-            p1 < STR s""");
+            p1 < STR s
+            p1 > STA s
+            c2 < STA s 2001""");
     }
 
     /** Guards against a second request, and the end of its session, where the client's connection is lost under one. */
@@ -787,8 +801,9 @@
             c < AAA s 2001
             p1 has no more
             c > STR s
-            c < STA s 2001
-            p1 < STR s""");
+            p1 < STR s
+            p1 > STA s
+            c < STA s 2001""");
     }
 
     /** Guards clients against being told of a session that has been ended: a repeat that comes too late is not sent on. */
@@ -834,8 +849,9 @@
             p1 > AAA s 2001 first=1
             p1 has no more
             c > STR s
-            c < STA s 2001
-            p1 < STR s""");
+            p1 < STR s
+            p1 > STA s
+            c < STA s 2001""");
     }
 
     @Test
@@ -855,8 +871,9 @@
             p2 > AAA s 2001
             c < AAA s 2001
             c > STR s
-            c < STA s 2001
-            p2 < STR s""");
+            p2 < STR s
+            p2 > STA s
+            c < STA s 2001""");
     }
 
     /** A peer that reads nothing: what the network has not taken of a lost client's request goes with its connection. */
--- a/src/test/java/grebewick/diameter/DiameterRestartTest.java
+++ b/src/test/java/grebewick/diameter/DiameterRestartTest.java
@@ -293,9 +293,9 @@
             p1 > STA c;1;1
             p2 has no more
             c > STR c;1;1
-            c < STA c;1;1 2001
             p2 < STR c;1;1
-            p2 > STA c;1;1""");
+            p2 > STA c;1;1
+            c < STA c;1;1 2001""");
         nothingIsPending();
     }
 
@@ -310,27 +310,27 @@
             n0 is told to end
             c has no more
             p1 > ASR c;1;1
+            c < ASR c;1;1
+            c > ASA c;1;1
             p1 < ASA c;1;1 2001
             p1 < STR c;1;1
             p1 > STA c;1;1
-            c < ASR c;1;1
-            c > ASA c;1;1
             c > STR c;1;1
             c < STA c;1;1 2001
             c > STR c;1;2
-            c < STA c;1;2 2001
             p1 < STR c;1;2
             p1 > STA c;1;2
+            c < STA c;1;2 2001
             p1 has no more
             c has no more
             wait 800
             p1 < DPR
             p2 < DPR
             p1 > ASR c;1;3
-            p1 < ASA c;1;3 2001
-            p1 < STR c;1;3
             c < ASR c;1;3
             c > ASA c;1;3
+            p1 < ASA c;1;3 2001
+            p1 < STR c;1;3
             p1 > DPA
             p2 > DPA
             c has no more
@@ -358,9 +358,9 @@
             p1 > STA b;1;1
             b has no more
             c > STR c;1;1
-            c < STA c;1;1 2001
             p1 < STR c;1;1
             p1 > STA c;1;1
+            c < STA c;1;1 2001
             b < DPR
             c < DPR""");
     }
@@ -389,4 +389,94 @@
             p1 > STA c;1;1
             c < STA c;1;1 2001""");
     }
+
+    /** Guards clients against the end of a session that a killed process has confirmed, and kept for the client's return. */
+    @Test
+    void anEndByTheServerIsConfirmedOnlyOnceTheClientHasHeard() {
+        stands("c;1;1");
+        s.play("c closes").until(() -> !node.hasClients());
+        s.play("p1 > ASR c;1;1\n p1 has no more");
+        isRestarted(1);
+        s.play("""
+            p1 > ASR c;1;1
+            c > CER
+            c < CEA 2001
+            c < ASR c;1;1
+            p1 has no more
+            c > ASA c;1;1
+            p1 < ASA c;1;1 2001
+            p1 < STR c;1;1
+            p1 > STA c;1;1""");
+        nothingIsPending();
+    }
+
+    /** Guards servers against the end of a session that a killed process has confirmed, and kept for the server's return. */
+    @Test
+    void anEndByTheClientIsConfirmedOnlyOnceTheServerHasHeard() {
+        stands("c;1;1");
+        s.play("p1 closes").until(() -> log.stream().anyMatch(line -> line.contains("p1 OKAY -> DOWN")));
+        s.play("c > STR c;1;1\n c has no more");
+        isRestarted(1);
+        s.play("""
+            c > CER
+            c < CEA 2001
+            c > STR c;1;1
+            p1 < STR c;1;1
+            c has no more
+            p1 > STA c;1;1
+            c < STA c;1;1 2001""");
+        nothingIsPending();
+    }
+
+    /** A client whose server stays away is answered in time, may ask again, and its server hears of the end once. */
+    @Test
+    void anEndByTheClientThatWaitsForItsServerIsAnsweredInTimeAndMayBeRepeated() {
+        stands("c;1;1");
+        s.play("p1 stops").until(() -> log.stream().anyMatch(line -> line.contains("p1 OKAY -> DOWN")));
+        s.play("""
+            c > STR c;1;1
+            c has no more
+            wait 9000
+            c < STA c;1;1 3002 E
+            c > STR c;1;1
+            c > STR c;1;1
+            c has no more
+            p1 listens
+            wait 1000
+            p1 < CER
+            p1 > CEA
+            p1 < STR c;1;1
+            p1 > STA c;1;1
+            c < STA c;1;1 2001
+            c < STA c;1;1 2001
+            c > STR c;1;1
+            c < STA c;1;1 5002""");
+        nothingIsPending();
+    }
+
+    /** Guards a server that says an end again against waiting for an answer that its client has given already. */
+    @Test
+    void anEndThatIsSaidAgainIsAnsweredAlsoAfterTheClientHasHeard() {
+        stands("c;1;1");
+        isRestarted(1);
+        s.play("""
+            c > CER
+            c < CEA 2001
+            p1 > ASR c;1;1
+            c < ASR c;1;1
+            c > ASA c;1;1
+            p1 < ASA c;1;1 2001
+            p1 < STR c;1;1
+            p1 > STA c;1;1
+            p1 > ASR c;1;1
+            p1 < ASA c;1;1 5002""");
+    }
+
+    /** A process that ends answers who waits for a server that is away: its client may end the session through the next one. */
+    @Test
+    void anEndThatWaitsForItsServerIsAnsweredAsTheProcessEnds() {
+        stands("c;1;1");
+        s.play("p1 stops").until(() -> log.stream().anyMatch(line -> line.contains("p1 OKAY -> DOWN")));
+        s.play("c > STR c;1;1\n n0 is told to end\n wait 3400\n c has no more\n wait 200\n c < STA c;1;1 3002 E");
+    }
 }
