Trunk: the release of a call is sent again where its connection may have taken it along

A call that its caller had ended, or an attempt that was given up as its answer came, could stand at its server for nobody: the release was written on a connection that broke or fell silent. Cause: a release was owed to the connection that it was written on; with that it was forgotten. Change: UnconfirmedReleases holds for each connection what its server may not have read: not confirmed (the protocol leaves that free), and nothing heard 1 s or more after it. Where the connection ends, these go out on another that reaches the same process, or on the next one; one that goes out beside a silent connection is owed by the other. None goes out under a later attempt of the same call there. Tests: two of NodeTest are new and fail on the sources before; a third fails where the check for later attempts is taken out. aBrokenConnectionIsFollowedByANewOneThoughOthersAreUp has one release more: the connection that carried it ends just after it.

--- a/src/main/java/grebewick/trunk/ServerConnection.java
+++ b/src/main/java/grebewick/trunk/ServerConnection.java
@@ -6,6 +6,7 @@
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /** One connection to a server, and the calls that were set up on it. */
@@ -16,6 +17,8 @@
     final TrunkCodec codec = new TrunkCodec();
     /** Calls whose set-up went out here: waiting for their answer, and standing. */
     final Set<CallLeg> legs = new LinkedHashSet<>();
+    /** Releases that went out here. */
+    final UnconfirmedReleases releases = new UnconfirmedReleases();
     /** Calls that an attempt of ended here before it stood, the latest: a second copy of that end may follow. */
     private final Set<Long> ended = new LinkedHashSet<>();
     /** Its number among those with this server, in the order in which they came up. */
@@ -72,6 +75,11 @@
         return ended.contains(id);
     }
 
+    /** Calls that are over and whose releases may be lost with it: a server that ends it in order has read what came before. */
+    List<Long> unreadReleases(long nowUs) {
+        return releases.unread(broken ? heardUs : nowUs);
+    }
+
     /** Bytes that were sent and the network has not taken. */
     long unwritten() {
         ChannelOutboundBuffer waiting = ((NetSocketInternal) socket).channelHandlerContext().channel().unsafe().outboundBuffer();
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -56,6 +56,9 @@
         /** Whatever was open on that connection is given up. */
         void lost(ServerConnections connections, ServerConnection connection);
 
+        /** Whether a set-up of a call has gone out to that server and is not over there. */
+        boolean holds(ServerConnections connections, long id);
+
         /** Set-ups that are open on that connection are given up; it stays, as standing calls need it. */
         void giveUpSetUps(ServerConnection connection);
 
@@ -304,7 +307,7 @@
         });
         socket.closeHandler(v -> closed(connection));
         for (OwedMessage message = owed.poll(); message != null; message = owed.poll()) {
-            if (message.isFor(connection)) {
+            if (isDue(message, connection)) {
                 write(connection, message.message);
             }
         }
@@ -516,11 +519,12 @@
         return null;
     }
 
-    /** Sends a second copy of what was sent on a silent connection, on another one. */
-    void sendBeside(ServerConnection silent, TrunkMessage message) {
+    /** Sends a second copy of a release that was sent on a silent connection, on another one, which is to carry it from now on. */
+    void sendBeside(ServerConnection silent, TrunkMessage release) {
         ServerConnection other = beside(silent);
         if (other != null) {
-            write(other, message);
+            silent.releases.forget(release.call());
+            write(other, release);
         }
     }
 
@@ -534,6 +538,13 @@
         }
     }
 
+    /** Not a release of an earlier attempt, where a later one has gone out since: it would end that. */
+    private boolean isDue(OwedMessage owedMessage, ServerConnection connection) {
+        TrunkMessage message = owedMessage.message;
+        boolean endsLaterAttempt = message.type() == TrunkMessage.RELEASE && owner.holds(this, message.call());
+        return owedMessage.isFor(connection) && !endsLaterAttempt;
+    }
+
     private void owe(TrunkMessage message, ProcessLease process) {
         if (listed && owed.size() < MOST_OWED) {
             owed.add(new OwedMessage(message, process));
@@ -547,6 +558,9 @@
             return Future.failedFuture("stuck");
         }
         connection.stuck = connection.socket.writeQueueFull() ? connection.stuck : 0;
+        if (message.type() == TrunkMessage.RELEASE) {
+            connection.releases.written(message.call(), clock.nowUs(), connection.heardUs);
+        }
         return connection.socket.write(TrunkCodec.encode(message)).onSuccess(v -> {
             if (starved && takes(connection)) {
                 owner.up(this);
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -384,8 +384,15 @@
         }
     }
 
+    @Override
+    public boolean holds(ServerConnections connections, long id) {
+        CallLeg leg = byId.get(id);
+        return leg != null && leg.connections == connections && leg.on != null;
+    }
+
     @Override
     public void lost(ServerConnections connections, ServerConnection connection) {
+        releaseAgain(connections, connection);
         for (CallLeg leg : List.copyOf(connection.legs)) {
             if (!leg.stands) {
                 forget(leg);
@@ -396,6 +403,16 @@
         }
     }
 
+    /** Guards against calls that stand for nobody: what was said of their ends may be lost with the connection. */
+    private void releaseAgain(ServerConnections connections, ServerConnection lost) {
+        for (long id : lost.unreadReleases(clock.nowUs())) {
+            // Else it would end a later attempt of the same call.
+            if (!holds(connections, id)) {
+                connections.sendAfter(lost, of(RELEASE, id, NORMAL_CLEARING));
+            }
+        }
+    }
+
     @Override
     public void giveUpSetUps(ServerConnection connection) {
         for (CallLeg leg : List.copyOf(connection.legs)) {
@@ -453,6 +470,7 @@
                 ended(connections, on, m);
             }
             case GROUP_STATE -> core.checked(connections.id, State.OK, 0, reports.read(m.report()));
+            case RELEASED -> on.releases.forget(m.call());
             case TEST -> connections.send(on, of(TESTED, m.call(), 1));
             case TESTED -> {
                 Probe probe = probes.remove(m.call());
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -526,6 +526,64 @@
             s2 < release 01 16""");
     }
 
+    /** Guards against a call that stands for nobody: its release may be lost with the connection that it was written on. */
+    @Test
+    void theReleaseOfACallIsSentAgainWhereItsConnectionIsLost() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c > BYE 01
+            c < 200 BYE 01
+            s1 < release 01 16
+            s1 closes
+            s1 < release 01 16
+            s1 > released 01
+            s1 has no more
+            s1 closes
+            s1 reached 4
+            s1 has no more""");
+    }
+
+    /** Guards against a call that stands for nobody: its late answer, and the release of its set-up, are lost with the connection. */
+    @Test
+    void theReleaseOfASetUpThatWasGivenUpIsSentAgainWhereItsConnectionIsLost() {
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            c > CANCEL 01
+            c < 200 CANCEL 01
+            c < 487 INVITE 01
+            s1 < release 01 16
+            s1 closes
+            s1 < release 01 16
+            s1 has no more""");
+    }
+
+    /** Guards a later attempt of a call at the same server against the end of an earlier one. */
+    @Test
+    void theReleaseOfAnEarlierAttemptIsNotSentAgainUnderALaterOne() {
+        s.on(() -> {
+            node.tell(Scope.COMPLETE, List.of(one));
+            return null;
+        });
+        s.play("""
+            c > INVITE 01
+            s1 < set-up 01*
+            wait 1300
+            s1 < release 01 16
+            wait 500
+            s1 < set-up 01*
+            s1 closes eldest
+            s1 has no more
+            s1 > answer 01 desc
+            c < 200 INVITE 01 desc
+            c > BYE 01
+            c < 200 BYE 01
+            s1 < release 01 16""");
+    }
+
     /** Guards the other set-ups against an answer that cannot be read: it takes its own connection along, no other. */
     @Test
     void aSpoiltAnswerEndsNoOtherSetUp() {
@@ -696,6 +754,7 @@
             s1 < release 02 16
             s1 reached 3
             s1 closes
+            s1 < release 02 16
             s1 reached 4
             s1 > release 01 16
             s1 < released 01
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -27,6 +27,7 @@
 /**
  * Plays a scenario against a program on loopback sockets. A line is {@code PARTY > MESSAGE} (send),
  * {@code PARTY < MESSAGE} (expect; {@code *} at the end stands for any rest), {@code PARTY connects}, {@code PARTY closes},
+ * {@code PARTY closes eldest} (of its connections),
  * {@code PARTY sees the end}, {@code PARTY listens}, {@code PARTY stops}, {@code PARTY has no more},
  * {@code PARTY hangs} (it says and answers nothing of itself any more, its connections stay open), {@code PARTY goes on},
  * {@code PARTY reached N} (so many connections with it have come up in all), {@code PARTY lost N} (so many have ended),
@@ -149,7 +150,13 @@
             case ">" -> party.send(words[2]);
             case "<" -> party.expect(words[2]);
             case "connects" -> party.connect();
-            case "closes" -> party.close();
+            case "closes" -> {
+                if (words.length > 2) {
+                    party.closeEldest();
+                } else {
+                    party.close();
+                }
+            }
             case "sees" -> party.expect("(closed)");
             case "listens" -> party.listen();
             case "stops" -> party.stop();
@@ -270,6 +277,14 @@
             expect("(closed)");
         }
 
+        void closeEldest() {
+            int before = closed;
+            NetSocket eldest = open.iterator().next();
+            assertThat(eldest).as(name + " speaks on another one").isNotSameAs(socket);
+            await(() -> eldest.close());
+            until(() -> closed > before);
+        }
+
         String next() {
             try {
                 String got = heard.poll(PATIENCE_S, TimeUnit.SECONDS);
