Diameter: a server that is away for a moment is tried again within 2 s

Callers saw: after a restart of the gatekeeper, or two resets in a row, no end of a session passed for up to 30 s (reconnect_ms) where the first try found no server: ends are to be told within 8 s, whoever is back first. Sessions that stood there were cut after their lease of 7.2 s. A server that took the connection and said nothing held everything up for 30 s (watchdog_ms). Cause: the delay for servers that stay away held for any failed try and for a connection of less than 1 s. Change: ReconnectDelays. For the first 60 s of an absence tries follow by backoff, at most 0.1 s first and 2 s at the longest, the upper half at random; after that, and where a server has asked to leave (DPR), reconnect_ms holds. The exchange of capabilities has 5 s.

--- a/src/main/java/grebewick/diameter/ServerPeer.java
+++ b/src/main/java/grebewick/diameter/ServerPeer.java
@@ -29,10 +29,8 @@
         void aborts(ServerPeer peer, Connection on, DiameterMessage request);
     }
 
-    /** us. A connection that was open for so long is replaced soon where it breaks. */
-    private static final long STABLE_US = 1_000_000;
-    /** us. Over which the gatekeepers of one server spread the connections that replace broken ones. */
-    private static final long MOST_JITTER_US = 100_000;
+    /** us. In which it has to answer the exchange of capabilities. */
+    private static final long CAPABILITIES_US = 5_000_000;
     /** Bytes of a server's answers that may wait to be taken. */
     private static final int MOST_BACKLOG = 4 * 1024 * 1024;
 
@@ -55,7 +53,7 @@
     private boolean hasLeft;
     /** us. When the connection was opened; 0: the latest never was. */
     private long openedUs;
-    private final Random random;
+    private final ReconnectDelays reconnects;
     private long startedAtUs;
     private long heardUs;
     /** Its largest Origin-State-Id so far; 0: it has told none. */
@@ -71,7 +69,7 @@
         this.timers = timers;
         this.listener = listener;
         this.log = log;
-        random = new Random(peer.host().hashCode() ^ clock.nowUs());
+        reconnects = new ReconnectDelays(config.reconnectUs(), new Random(peer.host().hashCode() ^ clock.nowUs()), clock.nowUs());
         watchdog = new Watchdog(timers, this, config.watchdogUs(), config.jitterUs(), peer.host().hashCode());
     }
 
@@ -123,10 +121,11 @@
         if (stopping) {
             return;
         }
+        long capabilitiesUs = Math.min(CAPABILITIES_US, config.watchdogUs());
         client.connect(peer.address().socket())
             .onSuccess(
-                socket -> connection = new Connection(socket, me, true, clock, timers, config.watchdogUs(), this, backlog, log))
-            .onFailure(e -> timers.after(config.reconnectUs(), this::connect));
+                socket -> connection = new Connection(socket, me, true, clock, timers, capabilitiesUs, this, backlog, log))
+            .onFailure(e -> timers.after(reconnects.afterFailure(clock.nowUs()), this::connect));
     }
 
     /** Takes leave of it; it is not connected to again. What it has said before is read, and what is written is sent. */
@@ -212,10 +211,12 @@
         openedUs = 0;
     }
 
-    /** Its sessions need a connection: one that was of use and broke is followed by another soon, any other later. */
     private long reconnectUs() {
-        boolean isBroken = openedUs > 0 && !hasAskedToLeave && clock.nowUs() - openedUs >= STABLE_US;
-        return isBroken ? random.nextLong(MOST_JITTER_US) : config.reconnectUs();
+        long nowUs = clock.nowUs();
+        if (openedUs == 0) {
+            return reconnects.afterFailure(nowUs);
+        }
+        return hasAskedToLeave ? reconnects.afterLeave(nowUs) : reconnects.afterBreak(openedUs, nowUs);
     }
 
     @Override
--- a/src/test/java/grebewick/play/Scenario.java
+++ b/src/test/java/grebewick/play/Scenario.java
@@ -113,6 +113,11 @@
         p.heard.removeIf("(closed)"::equals);
     }
 
+    /** How many connections with a party have come up in all. */
+    public int connectionsWith(String party) {
+        return on(() -> parties.get(party).accepted);
+    }
+
     /** The next message that came to a party. */
     public String next(String party) {
         return parties.get(party).next();
