Diameter: a repeat that is refused after a kill leaves no session at a server

Callers would see: the gatekeeper is killed under a request that its server then grants; the client repeats it (T) to the next process, is refused there, and the session stands at the first server for nobody. Only where the repeat was granted at another server was it ended. Cause: what the former process owed for the call was tied to the attempt that stands in this one. Change: a repeated request that ends without a session in the first 60 s after a start is followed by an STR to each server, within the budget for ends of unknown sessions. Tests: whatAFormerProcessMayHaveOpenedForARequestThatIsRefusedIsEnded (both forms) fails on the sources before; aRepeatThatIsRefusedLongAfterTheStartEndsNothing is its limit.

--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -494,6 +494,13 @@
             request = request.withoutBody();
         }
 
+        /** A process before this one may have had its request out, and opened what its client is now told is refused. */
+        private void endRefused() {
+            if (request.mayBeRepeat() && mayEndUnknown(on, id)) {
+                servers.endRefusedSession(id);
+            }
+        }
+
         /** The one place where an AAR gets its answer. */
         private void answer(DiameterMessage answer) {
             answered = true;
@@ -507,12 +514,16 @@
         @Override
         public void stands(long number, DiameterMessage given) {
             aborted = given.result() / 1000 != 2;
+            if (aborted) {
+                endRefused();
+            }
             answer(given.answering(request));
         }
 
         @Override
         public void refused(long number, long comeBackUs) {
             forget(this);
+            endRefused();
             long ms = (comeBackUs > 0 ? comeBackUs : COME_BACK_US) / 1000;
             answer(request.answer(me, DiameterException.TOO_BUSY,
                 Avp.note(Avp.ERROR_MESSAGE, "come back in " + ms + " ms")));
@@ -521,6 +532,7 @@
         @Override
         public void failed(long number) {
             forget(this);
+            endRefused();
             answer(request.answer(me, DiameterException.UNABLE_TO_DELIVER));
         }
 
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -240,10 +240,21 @@
         if (session.copy > 0) {
             teardowns.forget(session);
         }
-        if (session.isRepeated && clock.nowUs() - startedUs < REPEATED_US) {
-            // A process before this one may have had the request out, and is not there to end what it opened.
-            peers.values().stream().filter(peer -> peer != session.at).forEach(
-                peer -> teardowns.terminate(ServerSession.ofFormerProcess(peer, session.id), Cause.SERVICE_NOT_PROVIDED));
+        if (session.isRepeated) {
+            endFormerRequests(session.id, session.at);
+        }
+    }
+
+    @Override
+    public void endRefusedSession(String sessionId) {
+        endFormerRequests(sessionId, null);
+    }
+
+    /** A process before this one may have had a request for the session out, and is not there to end what it opened. */
+    private void endFormerRequests(String sessionId, ServerPeer except) {
+        if (clock.nowUs() - startedUs < REPEATED_US) {
+            peers.values().stream().filter(peer -> peer != except)
+                .forEach(peer -> teardowns.terminate(ServerSession.ofFormerProcess(peer, sessionId), Cause.SERVICE_NOT_PROVIDED));
         }
     }
 
--- a/src/main/java/grebewick/diameter/SessionServers.java
+++ b/src/main/java/grebewick/diameter/SessionServers.java
@@ -15,4 +15,10 @@
      * whichever has it. {@code result} takes the code for the client.
      */
     void terminateFormerSession(String sessionId, String host, LongConsumer result);
+
+    /**
+     * A request that its client has repeated was refused: what a process before this one may have opened for it is ended, wherever
+     * that is. Nothing is done where this process has run for so long that it would know.
+     */
+    void endRefusedSession(String sessionId);
 }
--- a/src/test/java/grebewick/diameter/DiameterRestartTest.java
+++ b/src/test/java/grebewick/diameter/DiameterRestartTest.java
@@ -529,4 +529,27 @@
             p1 > CEA
             p1 has no more""");
     }
+
+    /** Guards against a session that is open for nobody: the killed process had it opened, and its repeat is refused. */
+    @ParameterizedTest
+    @ValueSource(strings = {"p2 > AAA c;1;1 5003\n c < AAA c;1;1 5003",
+        "c > STR c;1;1\n c < AAA c;1;1 3002 E\n c < STA c;1;1 2001"})
+    void whatAFormerProcessMayHaveOpenedForARequestThatIsRefusedIsEnded(String refused) {
+        s.play("c > AAR c;1;1\n p1 < AAR c;1;1");
+        isRestarted(1);
+        s.play("c > CER\n c < CEA 2001\n c > AAR c;1;1 to=p2 flags=16\n p2 < AAR c;1;1 T");
+        s.play(refused);
+        s.play("p1 < STR c;1;1\n p1 > STA c;1;1\n p2 < STR c;1;1\n p2 > STA c;1;1 5002");
+    }
+
+    /** A process that has run for long knows of all that its clients repeat. */
+    @Test
+    void aRepeatThatIsRefusedLongAfterTheStartEndsNothing() {
+        for (int i = 0; i < 6; i++) {
+            s.play("wait 10000\n c < DWR\n c > DWA\n p1 < DWR\n p1 > DWA\n p2 < DWR\n p2 > DWA");
+            s.play("c has no more\n p1 has no more\n p2 has no more");
+        }
+        s.play("c > AAR c;1;1 flags=16\n p1 < AAR c;1;1 T\n p1 > AAA c;1;1 5003\n c < AAA c;1;1 5003");
+        s.play("p1 has no more\n p2 has no more");
+    }
 }
