Diameter: a client that repeats a request for its open session is given its answer again

Callers would see: the answer is lost with the client's connection; the client repeats the request (T) under a new End-to-End Identifier and is told 5012, takes its session for refused, and the session stands at its server for nobody. Cause: the answer was known by the request that had carried it (Origin-Host and End-to-End Identifier), not by its session. Change: a repeat by the same client for a session that is open gets the answer that it was given, while that is remembered. Test: aClientThatAsksAgainForAnOpenSessionIsGivenItsAnswer, which fails on the sources before.

--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -272,6 +272,17 @@
         return true;
     }
 
+    /** Its answer may have been lost with the connection: a client that took its session for refused would leave it open. */
+    private boolean isAnsweredAgain(Session known, Connection on, DiameterMessage m) {
+        boolean isOpen = known.answered && !known.aborted && !known.isTerminated;
+        DiameterMessage given = repeats.answer(known.key);
+        if (!isOpen || !m.mayBeRepeat() || given == null || !known.client.equals(on.peer())) {
+            return false;
+        }
+        on.send(given.answering(m));
+        return true;
+    }
+
     private void startWaiting(Session s) {
         waiting.computeIfAbsent(s.on, c -> new LinkedHashSet<>()).add(s);
     }
@@ -283,7 +294,7 @@
     private void authorise(Connection on, DiameterMessage m, String key) {
         Session s = new Session(on, m, key);
         Session known = sessions.get(s.id);
-        if (known != null && isAskedAnew(known, on, m, key)) {
+        if (known != null && (isAskedAnew(known, on, m, key) || isAnsweredAgain(known, on, m))) {
             return;
         }
         if (known != null) {
--- a/src/test/java/grebewick/diameter/DiameterRestartTest.java
+++ b/src/test/java/grebewick/diameter/DiameterRestartTest.java
@@ -552,4 +552,23 @@
         s.play("c > AAR c;1;1 flags=16\n p1 < AAR c;1;1 T\n p1 > AAA c;1;1 5003\n c < AAA c;1;1 5003");
         s.play("p1 has no more\n p2 has no more");
     }
+
+    /** Guards against a session that is open for nobody: its answer is lost with the connection, and its client asks again. */
+    @Test
+    void aClientThatAsksAgainForAnOpenSessionIsGivenItsAnswer() {
+        stands("c;1;1");
+        s.play("c closes").until(() -> !node.hasClients());
+        s.play("""
+            c > CER
+            c < CEA 2001
+            c > AAR c;1;1 flags=16 e2e=77
+            c < AAA c;1;1 2001
+            c > AAR c;1;1 e2e=78
+            c < AAA c;1;1 5012
+            p1 has no more
+            c > STR c;1;1
+            p1 < STR c;1;1
+            p1 > STA c;1;1
+            c < STA c;1;1 2001""");
+    }
 }
