SIP: a call whose answer its caller never had whole is released at its server

Callers would see: nothing; a caller that leaves before it was sent the whole 200 holds no call, and the call stood at its server for nobody until that ended it. The same where the connection was closed from this side in the moment of the answer. Cause: an answer counted as given once it was handed to the caller's connection, whatever became of that. Change: where the network has not taken the whole answer as the connection ends, the call is released as by its caller. Test: LeftCallersTest.whileItsAnswerWasNotWrittenToTheEnd, which fails on the sources before.

--- a/src/main/java/grebewick/sip/CallerLine.java
+++ b/src/main/java/grebewick/sip/CallerLine.java
@@ -4,6 +4,7 @@
 import grebewick.core.TokenBucket;
 import grebewick.eventloop.InputBuffer;
 import grebewick.eventloop.PacedInput;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
@@ -75,9 +76,10 @@
         return standing == 0 && open.isEmpty() && halfUs == 0 && nowUs - heardUs >= REST_US;
     }
 
-    void write(SipMessage m) {
+    /** What comes back is complete once the network has it, and fails where it never will. */
+    Future<Void> write(SipMessage m) {
         if (closed) {
-            return;
+            return Future.failedFuture("closed");
         }
         Buffer bytes = SipCodec.encode(m);
         unread += bytes.length();
@@ -86,9 +88,9 @@
             close();
             // Not within the caller's own loop over what it writes.
             timers.after(0, () -> ended.accept(this));
-            return;
+            return Future.failedFuture("unread");
         }
-        socket.write(bytes).onComplete(done -> unread -= bytes.length());
+        return socket.write(bytes).onComplete(done -> unread -= bytes.length());
     }
 
     /** Bytes that were sent and the network has not taken. */
--- a/src/main/java/grebewick/sip/CallerRequests.java
+++ b/src/main/java/grebewick/sip/CallerRequests.java
@@ -15,7 +15,7 @@
 import java.util.function.LongPredicate;
 
 /** What callers ask for, by method: set-ups are offered to the core, cancelled and released. */
-final class CallerRequests implements CallerListener.Receiver {
+final class CallerRequests implements CallerListener.Receiver, CallerSession.Owner {
     /** Open set-ups on a connection on which a call has stood, and on any other. */
     private static final int MOST_OPEN = 128;
     private static final int MOST_OPEN_UNPROVEN = 16;
@@ -119,7 +119,8 @@
     }
 
     /** Who sends nothing of use is closed: at full speed that takes the core, and the servers' time. */
-    private void useless(CallerLine on) {
+    @Override
+    public void useless(CallerLine on) {
         if (++on.useless >= MOST_USELESS && !on.closesAfterInput) {
             on.closesAfterInput = true;
             // What has come behind it may be a set-up.
@@ -127,6 +128,22 @@
         }
     }
 
+    /** Guards the servers against calls that stand for nobody. Not within the core's own run, which has just told of the call. */
+    @Override
+    public void unanswered(CallerSession s) {
+        timers.after(0, () -> {
+            if (sessions.get(s.id) == s) {
+                release(s);
+            }
+        });
+    }
+
+    private void release(CallerSession s) {
+        sessions.remove(s.id, s);
+        s.on.standing--;
+        core.releasedByCaller(s.call);
+    }
+
     private void closeUseless(CallerLine on) {
         on.closesAfterInput = false;
         if (on.useless >= MOST_USELESS && on.open.isEmpty() && on.standing == 0 && !on.closed) {
@@ -163,7 +180,7 @@
             on.write(m.response(503, "Service Unavailable", new Header("Retry-After", "1")));
             return;
         }
-        CallerSession session = new CallerSession(id, on, m, offer.leftUs(), clock, sessions, teardowns, this::useless, budget);
+        CallerSession session = new CallerSession(id, on, m, offer.leftUs(), clock, sessions, teardowns, this, budget);
         on.open.add(session);
         // Guards the servers against one connection's flood; a usual caller's connection has a few open.
         if (!takesCalls || on.open.size() > (on.proven ? MOST_OPEN : MOST_OPEN_UNPROVEN)) {
@@ -204,9 +221,7 @@
         }
         if (s != null && s.stands) {
             spoke(on);
-            sessions.remove(s.id, s);
-            s.on.standing--;
-            core.releasedByCaller(s.call);
+            release(s);
         }
     }
 }
--- a/src/main/java/grebewick/sip/CallerSession.java
+++ b/src/main/java/grebewick/sip/CallerSession.java
@@ -7,7 +7,6 @@
 import grebewick.sip.SipMessage.Header;
 import java.util.Arrays;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /** One call on the callers' side, from its INVITE to its BYE. */
 final class CallerSession implements Callers<byte[]> {
@@ -35,18 +34,26 @@
     private final Clock clock;
     private final Map<Long, CallerSession> sessions;
     private final CallerTeardowns teardowns;
-    private final Consumer<CallerLine> useless;
+    private final Owner owner;
+
+    /** What a session tells its owner. */
+    interface Owner {
+        /** The set-up was of no use to anybody. */
+        void useless(CallerLine line);
+
+        /** The call stands, and the network has not taken the whole answer: its caller can tell that it has none. */
+        void unanswered(CallerSession session);
+    }
 
     /**
      * A session that is not answered yet.
      *
      * @param waitUs for how long its caller waits
      * @param sessions all of the front, by id; it takes itself out once it is over
-     * @param useless is told of a set-up that was of no use to anybody
      * @param budget out of which the weight of its INVITE was taken
      */
     CallerSession(long id, CallerLine on, SipMessage invite, long waitUs, Clock clock, Map<Long, CallerSession> sessions,
-                  CallerTeardowns teardowns, Consumer<CallerLine> useless, ByteBudget budget) {
+                  CallerTeardowns teardowns, Owner owner, ByteBudget budget) {
         this.id = id;
         this.on = on;
         this.invite = invite.forResponses();
@@ -57,7 +64,7 @@
         this.clock = clock;
         this.sessions = sessions;
         this.teardowns = teardowns;
-        this.useless = useless;
+        this.owner = owner;
         sinceUs = clock.nowUs();
     }
 
@@ -101,7 +108,7 @@
         on.standing++;
         on.open.remove(this);
         on.useless = 0;
-        on.write(invite.response(200, "OK", description));
+        on.write(invite.response(200, "OK", description)).onFailure(lost -> owner.unanswered(this));
         if (!on.proven) {
             on.proven = true;
             teardowns.found(on);
@@ -119,7 +126,7 @@
         answer(500, "Server Internal Error");
         // Not one that ran out of time.
         if (!on.proven && isEarly()) {
-            useless.accept(on);
+            owner.useless(on);
         }
     }
 
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -16,6 +16,7 @@
 import grebewick.trunk.TrunkDialect;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -36,6 +37,9 @@
     private static final String CANCELS = "c > CANCEL 01\n c < 200 CANCEL 01\n c < 487 INVITE 01";
     /** Bytes unread by its caller after which a connection is closed. */
     private static final int MOST_UNREAD = 256 * 1024;
+    /** Bytes that a caller's side of a connection holds unread, about; and calls after which it has not been filled. */
+    private static final int SMALL_BUFFER = 4_096;
+    private static final int MOST_CALLS = 4_096;
     private static final Settings PATIENT = Sites
         .settings(Sites.SETTINGS.replace("\"ConnectTimeout\":500000", "\"ConnectTimeout\":60000000"));
     private final Scenario s = new Scenario();
@@ -77,6 +81,35 @@
         s.play("wait 10000\n s1 has no more\n s2 has no more");
     }
 
+    /** Guards servers against calls that stand for nobody: a caller reads nothing, and leaves before it was sent a whole answer. */
+    @Test
+    void whileItsAnswerWasNotWrittenToTheEnd() throws IOException {
+        SipDialect dialect = new SipDialect();
+        String description = "x".repeat(StuckConnection.DESCRIPTION);
+        int calls = 0;
+        try (Socket caller = new Socket()) {
+            caller.setReceiveBufferSize(SMALL_BUFFER);
+            caller.connect(new InetSocketAddress("127.0.0.1", port));
+            while (s.on(() -> node.pendingWork().bytes()) == 0) {
+                calls++;
+                assertThat(calls).as("the connection takes everything").isLessThan(MOST_CALLS);
+                String id = "%02x".formatted(calls);
+                caller.getOutputStream().write(dialect.encode("INVITE " + id).getBytes());
+                s.play("s1 < set-up " + id + "*\n s1 > answer " + id + " " + description + "\n s1 has no more");
+            }
+            caller.setSoLinger(true, 0);
+        }
+        int standing = calls - 1;
+        s.until(() -> {
+            s.clock.pass(1);
+            return node.calls() == standing;
+        });
+        s.play("s1 < release %02x 16\n s1 has no more\n s1 stops".formatted(calls)).until(() -> {
+            s.clock.pass(1_000);
+            return node.calls() == 0;
+        });
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {CANCELS, "c closes"})
     void whileTheLoopHadNotReadThatItLeft(String leaves) {
