--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -10,7 +10,6 @@
 import grebewick.core.Gatekeeper;
 import grebewick.core.Offer;
 import grebewick.core.Timers;
-import grebewick.core.TokenBucket;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -35,13 +34,6 @@
     private static final int BACKLOG_HEAP_PART = 8;
     /** Copies of a request that are held until its answer: as it came, and as it was sent on. */
     private static final int COPIES = 2;
-    /** Ends of sessions that nobody here knows: so many at once, and in a second. Each may go to all servers. */
-    private static final int UNKNOWN_ENDS = 4_096;
-    private static final int UNKNOWN_ENDS_A_S = 256;
-    /** The part of these that one connection may take is one in so many. */
-    private static final int UNKNOWN_ENDS_PART = 2;
-    /** Characters of a Session-Id from which its end counts for one more. */
-    private static final int LONG_NAME = 256;
     /** us. What a refused client is told where the module gives no advice. */
     private static final long COME_BACK_US = 1_000_000;
 
@@ -64,8 +56,7 @@
     /** Of what was read and waits for its slice. */
     private final ByteBudget backlog = ByteBudget.ofHeap(BACKLOG_HEAP_PART);
     private final ClientTeardowns teardowns;
-    private final TokenBucket unknownEnds = new TokenBucket(UNKNOWN_ENDS, UNKNOWN_ENDS_A_S);
-    private final Map<Connection, TokenBucket> unknownEndsOf = new HashMap<>();
+    private final UnknownEndBudget unknownEnds;
     private SessionServers servers;
     private boolean stopping;
     private boolean serversHaveLeft;
@@ -79,6 +70,7 @@
         this.clock = clock;
         this.timers = timers;
         this.log = log;
+        unknownEnds = new UnknownEndBudget(clock);
         teardowns = new ClientTeardowns(me, connections, config.requestUs(), clock, timers, new EventLog(log, clock),
             this::askAllToLeave);
         timers.after(LOOK_US, this::look);
@@ -200,7 +192,7 @@
     public void closed(Connection c) {
         connections.remove(c);
         askedToLeave.remove(c);
-        unknownEndsOf.remove(c);
+        unknownEnds.forget(c);
         teardowns.lost(c);
         Watchdog watchdog = watchdogs.remove(c);
         if (watchdog != null) {
@@ -377,7 +369,7 @@
         if (ended.has(id) || !SessionIds.mayBeOf(on.peer(), id)) {
             throw new DiameterException(DiameterException.UNKNOWN_SESSION_ID, "no such session", null);
         }
-        if (!mayEndUnknown(on, id)) {
+        if (!unknownEnds.tryTake(on, id)) {
             throw new DiameterException(DiameterException.TOO_BUSY, "too many ends of unknown sessions", null);
         }
         servers.terminateFormerSession(id, m.text(Avp.DESTINATION_HOST), result -> {
@@ -388,18 +380,6 @@
         });
     }
 
-    /**
-     * Guards the servers against the ends of sessions that nobody has set up, under ever new and long names, and the ends of
-     * other clients against one connection that takes all.
-     */
-    private boolean mayEndUnknown(Connection on, String sessionId) {
-        long nowUs = clock.nowUs();
-        int cost = 1 + sessionId.length() / LONG_NAME;
-        TokenBucket own = unknownEndsOf.computeIfAbsent(on,
-            c -> new TokenBucket(UNKNOWN_ENDS / UNKNOWN_ENDS_PART, UNKNOWN_ENDS_A_S / UNKNOWN_ENDS_PART));
-        return own.tryTake(cost, nowUs) && unknownEnds.tryTake(cost, nowUs);
-    }
-
     /** Names the servers that are told of the ends of sessions, before anything is accepted. */
     void attach(SessionServers sessionServers) {
         servers = sessionServers;
@@ -507,7 +487,7 @@
 
         /** A process before this one may have had its request out, and opened what its client is now told is refused. */
         private void endRefused() {
-            if (request.mayBeRepeat() && mayEndUnknown(on, id)) {
+            if (request.mayBeRepeat() && unknownEnds.tryTake(on, id)) {
                 servers.endRefusedSession(id);
             }
         }
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -14,7 +14,6 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.net.ConnectException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -43,7 +42,6 @@
     private static final long FAREWELL_US = 1_000_000;
     /** Bytes not yet taken by the network above which a connection counts as stuck. */
     private static final int BACKLOG = 1 << 20;
-    private static final int MOST_OWED = 10_000;
     /** us. Age of what was heard on another connection up to which this one is not needed to show that a process lives. */
     private static final long EVIDENCE_US = 1_500_000;
     /** us. Between looks whether a connection is still needed. */
@@ -91,7 +89,7 @@
     private final Consumer<String> log;
     private final EventLog eventLog;
     private long nextNumber = 1;
-    private final ArrayDeque<OwedMessage> owed = new ArrayDeque<>();
+    private final OwedMessages owed = new OwedMessages();
     private final List<ServerConnection> open = new ArrayList<>();
     private Address address;
     private boolean connecting;
@@ -306,11 +304,7 @@
             socket.close();
         });
         socket.closeHandler(v -> closed(connection));
-        for (OwedMessage message = owed.poll(); message != null; message = owed.poll()) {
-            if (isDue(message, connection)) {
-                write(connection, message.message);
-            }
-        }
+        owed.flush(connection, call -> owner.holds(this, call), message -> write(connection, message));
         if (!listed) {
             // Before anything that waits for it goes out there.
             drop(connection, "server-gone-from-list");
@@ -538,16 +532,9 @@
         }
     }
 
-    /** Not a release of an earlier attempt, where a later one has gone out since: it would end that. */
-    private boolean isDue(OwedMessage owedMessage, ServerConnection connection) {
-        TrunkMessage message = owedMessage.message;
-        boolean endsLaterAttempt = message.type() == TrunkMessage.RELEASE && owner.holds(this, message.call());
-        return owedMessage.isFor(connection) && !endsLaterAttempt;
-    }
-
     private void owe(TrunkMessage message, ProcessLease process) {
-        if (listed && owed.size() < MOST_OWED) {
-            owed.add(new OwedMessage(message, process));
+        if (listed) {
+            owed.add(message, process);
         }
     }
 
@@ -673,11 +660,4 @@
     boolean isClosed() {
         return open.isEmpty() && !connecting;
     }
-
-    /** A message that waits for a connection; {@code process}: which one it is for, null: whichever comes. */
-    private record OwedMessage(TrunkMessage message, ProcessLease process) {
-        boolean isFor(ServerConnection connection) {
-            return process == null || process.current() == connection.process.current();
-        }
-    }
 }
