Diameter: an end that its client has not confirmed is told on its next connection

Cause: an end went with the connection that it was written on, for as long as that seemed open. Change: ends go to the latest connection of their client; what it has not confirmed goes out again (T) on each that it opens; an end waits 60 s for its answer, as it does for its client. Test: anEndThatItsClientHasNotConfirmedIsToldOnItsNextConnection, which fails on the sources before.

--- a/src/main/java/grebewick/diameter/ClientTeardowns.java
+++ b/src/main/java/grebewick/diameter/ClientTeardowns.java
@@ -22,7 +22,7 @@
  * connections. A client that is away is told when it is back.
  */
 final class ClientTeardowns {
-    /** us. For how long an end waits for its client. */
+    /** us. For how long an end waits for its client, and for its client's answer. */
     static final long KEPT_US = 60_000_000;
     private static final int MAX_TEARDOWNS = 10_000;
     private static final long SWEEP_US = 1_000_000;
@@ -58,23 +58,22 @@
      * Nothing is to be told yet.
      *
      * @param connections all with clients, as they come and go
-     * @param confirmUs for how long a client that has been told may take to confirm it
      * @param settled is run as an end is confirmed or given up
      */
-    ClientTeardowns(Identity me, Set<Connection> connections, long confirmUs, Clock clock, Timers timers, EventLog eventLog,
+    ClientTeardowns(Identity me, Set<Connection> connections, Clock clock, Timers timers, EventLog eventLog,
                     Runnable settled) {
         this.me = me;
         this.connections = connections;
         this.eventLog = eventLog;
         this.settled = settled;
         nextEndToEnd = (int) (clock.nowUs() >> 4);
-        teardowns = new TeardownSender<>(new RetryPolicy(confirmUs, 1, confirmUs, KEPT_US, MAX_TEARDOWNS), new ToClients(), clock,
+        teardowns = new TeardownSender<>(new RetryPolicy(KEPT_US, 1, KEPT_US, KEPT_US, MAX_TEARDOWNS), new ToClients(), clock,
             timers, SWEEP_US);
         teardowns.start();
     }
 
-    /** A session is over: its client is told, on {@code first} if that is still open (null: on any of its connections). */
-    End abort(String session, String client, String realm, Connection first, LongConsumer result) {
+    /** A session is over: its client is told, on the latest of its connections. */
+    End abort(String session, String client, String realm, LongConsumer result) {
         End end = new End(session, client, result);
         List<Avp> avps = new ArrayList<>();
         avps.add(Avp.text(Avp.SESSION_ID, session));
@@ -83,7 +82,7 @@
         avps.add(Avp.text(Avp.DESTINATION_HOST, client));
         avps.add(Avp.unsigned(Avp.AUTH_APPLICATION_ID, NASREQ));
         untold.merge(client, 1, Integer::sum);
-        teardowns.owe(end, new DiameterMessage(REQUEST | PROXIABLE, ABORT_SESSION, NASREQ, 0, nextEndToEnd++, avps), first);
+        teardowns.owe(end, new DiameterMessage(REQUEST | PROXIABLE, ABORT_SESSION, NASREQ, 0, nextEndToEnd++, avps), null);
         return end;
     }
 
@@ -110,8 +109,10 @@
         return teardowns.owes(end);
     }
 
+    /** What its client has not confirmed on an earlier connection is told on this one: it may have lost that without a word. */
     void opened(Connection on) {
         teardowns.found(on);
+        connections.stream().filter(earlier -> earlier != on && earlier.peer().equals(on.peer())).forEach(teardowns::lost);
     }
 
     void lost(Connection on) {
@@ -126,12 +127,11 @@
     private final class ToClients implements TeardownRoutes<End, DiameterMessage, Connection> {
         @Override
         public Connection best(End end, Connection but) {
+            Connection latest = null;
             for (Connection c : connections) {
-                if (c != but && c.isOpen() && end.mayBeToldBy(c.peer())) {
-                    return c;
-                }
+                latest = c != but && c.isOpen() && end.mayBeToldBy(c.peer()) ? c : latest;
             }
-            return null;
+            return latest;
         }
 
         @Override
--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -71,7 +71,7 @@
         this.timers = timers;
         this.log = log;
         unknownEnds = new UnknownEndBudget(clock);
-        teardowns = new ClientTeardowns(me, connections, config.requestUs(), clock, timers, new EventLog(log, clock),
+        teardowns = new ClientTeardowns(me, connections, clock, timers, new EventLog(log, clock),
             this::askAllToLeave);
         timers.after(LOOK_US, this::look);
     }
@@ -404,7 +404,7 @@
             Session former = new Session(id);
             former.endForServer.await(result);
             sessions.put(id, former);
-            former.abort(realmOf(former.client), null);
+            former.abort(realmOf(former.client));
         }
     }
 
@@ -539,14 +539,14 @@
             if (aborted) {
                 forget(this);
             } else {
-                abort(request.text(Avp.ORIGIN_REALM), on);
+                abort(request.text(Avp.ORIGIN_REALM));
             }
         }
 
         /** Its client is told that it is over. */
-        void abort(String realm, Connection first) {
+        void abort(String realm) {
             aborted = true;
-            end = teardowns.abort(id, client, realm, first, result -> {
+            end = teardowns.abort(id, client, realm, result -> {
                 // The client ends the session with an STR; one that stays away has no session to come back to.
                 timers.after(config.requestUs(), () -> forget(this));
                 endForServer.tell(result);
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -788,6 +788,45 @@
             c2 < STA s 2001""");
     }
 
+    /** Guards clients against ends that are told on a connection which fell silent: they are back on another one. */
+    @Test
+    void anEndThatItsClientHasNotConfirmedIsToldOnItsNextConnection() {
+        s.client("c2", new DiameterDialect("c", 1), port);
+        s.play("""
+            c > AAR s
+            p1 < AAR s
+            p1 > AAA s 2001
+            c < AAA s 2001
+            c > AAR u
+            p1 < AAR u
+            p1 > AAA u 2001
+            c < AAA u 2001
+            p1 > ASR s
+            c < ASR s
+            wait 4800
+            p1 has no more
+            wait 4800
+            p1 has no more
+            c2 > CER
+            c2 < CEA 2001
+            c2 < ASR s T
+            c2 > ASA s
+            p1 < ASA s 2001
+            p1 < STR s
+            p1 > STA s
+            c2 > STR s e2e=51
+            c2 < STA s 2001
+            p1 > ASR u
+            c2 < ASR u
+            c2 > ASA u
+            p1 < ASA u 2001
+            p1 < STR u
+            p1 > STA u
+            c2 > STR u e2e=52
+            c2 < STA u 2001
+            c has no more""").until(() -> node.pendingTeardowns() == 0);
+    }
+
     /** Guards against a second request, and the end of its session, where the client's connection is lost under one. */
     @ParameterizedTest
     @ValueSource(strings = {"e2e=7 flags=16", "e2e=8"})
