Diameter: a repeat on another connection waits for the answer that is out

Callers would see: a client whose connection has fallen silent under a request repeats it (T) on another one under a new End-to-End Identifier; it was told 5012, while its session was being opened for it. Cause: the request in hand was known by its identifier and its connection, not by its session. Change: a repeat marked as such that comes on another connection of the same client takes the place of the one that waits there. Test: aRepeatOnAnotherConnectionUnderANewIdentifierWaitsForTheAnswer, which fails on the sources before.

--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -254,7 +254,8 @@
 
     /** A client that is back asks anew for what is still out: it is no second request. */
     private boolean isAskedAnew(Session known, Connection on, DiameterMessage m, String key) {
-        if (known.answered || known.on.isOpen() || !known.on.peer().equals(on.peer())) {
+        boolean mayHaveLost = !known.on.isOpen() || m.mayBeRepeat() && known.on != on;
+        if (known.answered || !mayHaveLost || !known.on.peer().equals(on.peer())) {
             return false;
         }
         repeats.forget(known.key);
--- a/src/test/java/grebewick/diameter/DiameterNodeTest.java
+++ b/src/test/java/grebewick/diameter/DiameterNodeTest.java
@@ -827,6 +827,27 @@
             c has no more""").until(() -> node.pendingTeardowns() == 0);
     }
 
+    /** Guards against a refusal of what is being opened: a client repeats under a new identifier what it has asked before. */
+    @Test
+    void aRepeatOnAnotherConnectionUnderANewIdentifierWaitsForTheAnswer() {
+        s.client("c2", new DiameterDialect("c", 1), port);
+        s.play("""
+            c > AAR s e2e=7
+            p1 < AAR s
+            c2 > CER
+            c2 < CEA 2001
+            c2 > AAR s e2e=8 flags=16
+            c2 has no more
+            p1 > AAA s 2001
+            c2 < AAA s 2001
+            p1 has no more
+            c has no more
+            c2 > STR s
+            p1 < STR s
+            p1 > STA s
+            c2 < STA s 2001""");
+    }
+
     /** Guards against a second request, and the end of its session, where the client's connection is lost under one. */
     @ParameterizedTest
     @ValueSource(strings = {"e2e=7 flags=16", "e2e=8"})
