Diameter: a request that waits for the other side holds only what its answer is made of

Found by reading the change: an STR that waits for its server was held whole, up to 16 KiB, and 4,096 of them may wait: as much as the heap of the deploy file. Those for one session were held in a list that is searched for each. Change: session and proxy information are kept, out of the budget of requests that wait; beyond it the answer is 3004.

--- a/src/main/java/grebewick/diameter/AwaitedResult.java
+++ b/src/main/java/grebewick/diameter/AwaitedResult.java
@@ -1,13 +1,14 @@
 package grebewick.diameter;
 
 import grebewick.core.Timers;
-import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.LongConsumer;
 
 /** Those who wait for one result code. Each is told once: the code, or after its time that it could not be had. */
 final class AwaitedResult {
-    private final List<LongConsumer> waiting = new ArrayList<>();
+    private final Set<LongConsumer> waiting = new LinkedHashSet<>();
 
     /** {@code result} takes the code, whenever it comes. */
     void await(LongConsumer result) {
--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -353,7 +353,7 @@
             // It stands on: its client may end it through the next process.
             throw new DiameterException(DiameterException.UNABLE_TO_DELIVER, "its server is not connected any more", null);
         }
-        s.endForClient.await(result -> on.send(m.answer(me, result)), timers, config.requestUs());
+        s.endForClient.await(answerLater(on, m), timers, config.requestUs());
         if (!s.isTerminated) {
             s.isTerminated = true;
             servers.terminate(s.call, result -> {
@@ -373,14 +373,28 @@
         if (!unknownEnds.tryTake(on, id)) {
             throw new DiameterException(DiameterException.TOO_BUSY, "too many ends of unknown sessions", null);
         }
+        LongConsumer answer = answerLater(on, m);
         servers.terminateFormerSession(id, m.text(Avp.DESTINATION_HOST), result -> {
             if (result != DiameterException.UNABLE_TO_DELIVER) {
                 ended.add(id);
             }
-            on.send(m.answer(me, result));
+            answer.accept(result);
         });
     }
 
+    /** Holds what the answer to a request is made of until its result is there. Guards the memory against requests that wait. */
+    private LongConsumer answerLater(Connection on, DiameterMessage m) {
+        DiameterMessage request = m.forAnswer();
+        int weight = request.weight();
+        if (!budget.tryTake(weight)) {
+            throw new DiameterException(DiameterException.TOO_BUSY, "too much waits for its answer", null);
+        }
+        return result -> {
+            budget.give(weight);
+            on.send(request.answer(me, result));
+        };
+    }
+
     /** Names the servers that are told of the ends of sessions, before anything is accepted. */
     void attach(SessionServers sessionServers) {
         servers = sessionServers;
--- a/src/main/java/grebewick/diameter/DiameterMessage.java
+++ b/src/main/java/grebewick/diameter/DiameterMessage.java
@@ -108,6 +108,12 @@
             .collect(Collectors.toMap(Avp::code, a -> a, (first, other) -> first)).values().stream().toList());
     }
 
+    /** Of this request, what {@link #answer(Identity, long, Avp...) its answer} is made of. */
+    DiameterMessage forAnswer() {
+        return with(flags, hopByHop, avps.stream()
+            .filter(a -> a.vendor() == 0 && (a.code() == Avp.SESSION_ID || a.code() == Avp.PROXY_INFO)).toList());
+    }
+
     /** The answer that a fault calls for. */
     DiameterMessage answer(Identity me, DiameterException fault) {
         Avp text = Avp.note(Avp.ERROR_MESSAGE, fault.getMessage());
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -376,8 +376,9 @@
     private void abortAtClient(ServerPeer peer, Connection on, DiameterMessage m, ServerSession own) {
         String id = m.text(Avp.SESSION_ID);
         boolean isFirst = untoldAborts.add(id);
+        DiameterMessage request = m.forAnswer();
         clients.accept(id, result -> {
-            on.send(m.answer(me, result));
+            on.send(request.answer(me, result));
             if (isFirst && untoldAborts.remove(id) && (own != null || result == SUCCESS)) {
                 teardowns.terminate(own == null ? ServerSession.ofFormerProcess(peer, id) : own, Cause.ADMINISTRATIVE);
             }
