--- a/src/main/java/grebewick/diameter/DiameterFront.java
+++ b/src/main/java/grebewick/diameter/DiameterFront.java
@@ -502,7 +502,7 @@
 
         /** A process before this one may have had its request out, and opened what its client is now told is refused. */
         private void endRefused() {
-            if (request.mayBeRepeat() && unknownEnds.tryTake(on, id)) {
+            if (request.mayBeRepeat() && servers.mayRepeatFormerRequests() && unknownEnds.tryTake(on, id)) {
                 servers.endRefusedSession(id);
             }
         }
--- a/src/main/java/grebewick/diameter/DiameterServers.java
+++ b/src/main/java/grebewick/diameter/DiameterServers.java
@@ -240,11 +240,16 @@
         if (session.copy > 0) {
             teardowns.forget(session);
         }
-        if (session.isRepeated) {
+        if (session.isRepeated && mayRepeatFormerRequests()) {
             endFormerRequests(session.id, session.at);
         }
     }
 
+    @Override
+    public boolean mayRepeatFormerRequests() {
+        return clock.nowUs() - startedUs < REPEATED_US;
+    }
+
     @Override
     public void endRefusedSession(String sessionId) {
         endFormerRequests(sessionId, null);
@@ -252,10 +257,8 @@
 
     /** A process before this one may have had a request for the session out, and is not there to end what it opened. */
     private void endFormerRequests(String sessionId, ServerPeer except) {
-        if (clock.nowUs() - startedUs < REPEATED_US) {
-            peers.values().stream().filter(peer -> peer != except)
-                .forEach(peer -> teardowns.terminate(ServerSession.ofFormerProcess(peer, sessionId), Cause.SERVICE_NOT_PROVIDED));
-        }
+        peers.values().stream().filter(peer -> peer != except)
+            .forEach(peer -> teardowns.terminate(ServerSession.ofFormerProcess(peer, sessionId), Cause.SERVICE_NOT_PROVIDED));
     }
 
     /** Its connection is lost: its server may have opened the session, and its answer may be lost with the connection. */
--- a/src/main/java/grebewick/diameter/SessionServers.java
+++ b/src/main/java/grebewick/diameter/SessionServers.java
@@ -16,9 +16,12 @@
      */
     void terminateFormerSession(String sessionId, String host, LongConsumer result);
 
+    /** Whether clients may still repeat what they have asked a process before this one. */
+    boolean mayRepeatFormerRequests();
+
     /**
      * A request that its client has repeated was refused: what a process before this one may have opened for it is ended, wherever
-     * that is. Nothing is done where this process has run for so long that it would know.
+     * that is.
      */
     void endRefusedSession(String sessionId);
 }
--- a/src/main/java/grebewick/diameter/UnknownEndBudget.java
+++ b/src/main/java/grebewick/diameter/UnknownEndBudget.java
@@ -30,9 +30,12 @@
     boolean tryTake(Connection on, String sessionId) {
         long nowUs = clock.nowUs();
         int cost = 1 + sessionId.length() / LONG_NAME;
-        TokenBucket own = byConnection.computeIfAbsent(on,
+        return (!on.isOpen() || of(on).tryTake(cost, nowUs)) && all.tryTake(cost, nowUs);
+    }
+
+    private TokenBucket of(Connection connection) {
+        return byConnection.computeIfAbsent(connection,
             c -> new TokenBucket(MOST / CONNECTION_PART, MOST_A_S / CONNECTION_PART));
-        return own.tryTake(cost, nowUs) && all.tryTake(cost, nowUs);
     }
 
     /** A connection has ended. */
