--- a/src/main/java/grebewick/diameter/ReconnectDelays.java
+++ b/src/main/java/grebewick/diameter/ReconnectDelays.java
@@ -3,8 +3,9 @@
 import java.util.random.RandomGenerator;
 
 /**
- * When a server is connected to again: soon while it has been away for a short time, as sessions may stand there whose ends are to be
- * told, then after a fixed delay. Times are microseconds of one monotonic clock, handed in, and so is the source of randomness.
+ * When a server is connected to again: soon while it has been away for a short time, as sessions may stand there whose ends are
+ * to be told, then after a fixed delay. Times are microseconds of one monotonic clock, handed in, and so is the source of
+ * randomness.
  */
 final class ReconnectDelays {
     /** us. A connection that was open for so long was of use. */
--- a/src/main/java/grebewick/diameter/SessionServers.java
+++ b/src/main/java/grebewick/diameter/SessionServers.java
@@ -20,8 +20,8 @@
     boolean mayRepeatFormerRequests();
 
     /**
-     * A request that its client has repeated was refused: what a process before this one may have opened for it is ended, wherever
-     * that is.
+     * A request that its client has repeated was refused: what a process before this one may have opened for it is ended,
+     * wherever that is.
      */
     void endRefusedSession(String sessionId);
 }
--- a/src/main/java/grebewick/trunk/ServerConnections.java
+++ b/src/main/java/grebewick/trunk/ServerConnections.java
@@ -513,7 +513,7 @@
         return null;
     }
 
-    /** Sends a second copy of a release that was sent on a silent connection, on another one, which is to carry it from now on. */
+    /** Sends a second copy of a release that was sent on a silent connection, on another one, which is to carry it from then. */
     void sendBeside(ServerConnection silent, TrunkMessage release) {
         ServerConnection other = beside(silent);
         if (other != null) {
--- a/src/test/java/grebewick/LeftCallersTest.java
+++ b/src/test/java/grebewick/LeftCallersTest.java
@@ -81,7 +81,7 @@
         s.play("wait 10000\n s1 has no more\n s2 has no more");
     }
 
-    /** Guards servers against calls that stand for nobody: a caller reads nothing, and leaves before it was sent a whole answer. */
+    /** Guards servers against calls that stand for nobody: their caller leaves before it was sent a whole answer. */
     @Test
     void whileItsAnswerWasNotWrittenToTheEnd() throws IOException {
         SipDialect dialect = new SipDialect();
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -546,7 +546,7 @@
             s1 has no more""");
     }
 
-    /** Guards against a call that stands for nobody: its late answer, and the release of its set-up, are lost with the connection. */
+    /** Guards against a call that stands for nobody: its late answer and the release of its set-up are lost together. */
     @Test
     void theReleaseOfASetUpThatWasGivenUpIsSentAgainWhereItsConnectionIsLost() {
         s.play("""
