--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -29,7 +29,7 @@
     /** Parts of the usual lines in use: above, a server has not died, below, it has (ours: far apart). */
     private static final double STILL_UP = 0.5;
     private static final double GONE_DOWN = 0.1;
-    private static final int OFF = Integer.MAX_VALUE;
+    static final int OFF = Integer.MAX_VALUE;
     private static final long UNPHASED = Long.MIN_VALUE;
     /** Name of the periodic reminder; call ids are below it. */
     private static final long TICK = 1L << 52;
@@ -42,8 +42,8 @@
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
     private final Map<Long, Out> outs = new HashMap<>();
     private final Set<Long> standing = new HashSet<>();
-    private final Map<String, Long> firstTries = new LinkedHashMap<>();
-    private final Map<String, Throttle> numbers = new TreeMap<>();
+    private final ArrivalTimes arrivals;
+    private final CalledNumbers numbers;
     private final long tdUs;
     private final long holdUs;
     private final long hardLimitUs;
@@ -63,41 +63,20 @@
     private long askUs;
     /** When this gateway last stood still until: what was out then tells nothing of its server. */
     private long backlogUs = Long.MIN_VALUE;
-    /** How long before its end a try comes in, as last seen twice in a row; 0: not known. */
-    private long tryUs;
-    private long lastTryUs;
     private int logged;
 
     /** Makes the call control of one gateway; settings that cannot work are refused with the field named. */
     public Logic(Settings settings, long seed) {
         set = settings;
         random = new Random(seed);
-        check(!set.grades().isEmpty(), "Grades");
-        check(set.replicasOfMe() >= 1, "ReplicasOfMe");
-        check(set.bounds().attemptsCap() >= 1, "Bounds.AttemptsCap");
-        Rules rules = set.rules();
-        Map<String, Number> notNegative = Map.of("Rules.AskWithin", rules.askWithinUs(),
-            "Rules.Cold", rules.coldUs(), "Rules.ColdFrom", rules.coldFrom(),
-            "Rules.DrainGrace", rules.drainGraceUs(), "Rules.Fall", rules.fallUs(),
-            "Rules.OverloadFactor", rules.overloadFactor(), "Rules.AnswerSlack", rules.answerSlackUs(),
-            "FamilyInfo.Release", set.familyInfo().releaseUs(),
-            "FamilyInfo.Resend", set.familyInfo().resendUs(), "Bounds.ConnectTimeout",
-            set.bounds().connectTimeoutUs());
-        notNegative.forEach((field, value) -> check(value.doubleValue() >= 0, field));
-        check(set.bounds().maxRetryAfterUs() >= 0, "Bounds.MaxRetryAfter");
-        check(set.periodUs() >= 0, "Period");
+        SettingsCheck.check(set);
         boolean pools = pools();
         List<List<Integer>> byClass = set.familyInfo().poolsByClass();
-        check(!pools || byClass.size() >= set.grades().size(), "FamilyInfo.PoolsByClass");
         long aimUs = Long.MAX_VALUE;
         long limitUs = 0;
         double most = 0;
         for (int i = 0; i < set.grades().size(); i++) {
             Grade grade = set.grades().get(i);
-            check(grade.goalTimeUs() > 0, "Grades.GoalTime");
-            check(grade.hardLimitUs() > 0, "Grades.HardLimit");
-            check(grade.windowUs() >= 0, "Grades.Window");
-            check(!pools || !byClass.get(i).isEmpty(), "FamilyInfo.PoolsByClass");
             gradeOf.put(grade.name(), i);
             places.add(pools ? Set.copyOf(byClass.get(i)) : Set.of());
             aimUs = Math.min(aimUs, grade.goalTimeUs());
@@ -109,16 +88,12 @@
         // Well under Resend, as repeats are work, and under the aim, so that a held call stands in time.
         long resendUs = set.familyInfo().resendUs();
         tdUs = Math.min(TD_MOST_US, (long) (TD_PART * Math.min(aimUs, resendUs > 0 ? resendUs : aimUs)));
+        numbers = new CalledNumbers(tdUs, TAU_US);
         // A recovered server is to be found again in seconds at any size.
         barMostUs = Math.min(TAU_US, tdUs * set.replicasOfMe());
         holdUs = (long) (aimUs * HOLD_PART);
         tickUs = Math.max(Math.max(1, set.periodUs()), tdUs / TICKS_IN_TD);
-    }
-
-    private static void check(boolean holds, String field) {
-        if (!holds) {
-            throw new IllegalArgumentException("settings: field " + field + " cannot work");
-        }
+        arrivals = new ArrivalTimes(tickUs);
     }
 
     private boolean pools() {
@@ -235,26 +210,14 @@
             return;
         }
         long stretchUs = (long) (p.grade.aimStretch() * Math.max(0, call.estimateUs()));
-        // A number dialled again is taken for the same caller's next try.
-        long cameUs = cameUs(call);
-        long firstUs = call.item().isEmpty() ? cameUs : firstTries.computeIfAbsent(call.item(), k -> cameUs);
+        long arrivedUs = arrivals.arrivedUs(call.dropDeadUs(), nowUs, nowUs == backlogUs);
+        long firstUs = arrivals.firstTryUs(call.item(), arrivedUs);
         p.aimUs = firstUs + Math.min(p.grade.goalTimeUs() + stretchUs, p.grade.hardLimitUs());
         p.spillUs = Math.min(nowUs + holdUs, call.dropDeadUs());
         p.giveUpUs = p.spillUs;
         place(p);
     }
 
-    /** When the call came in: earlier than now where it waited while this gateway stood still. */
-    private long cameUs(Call call) {
-        long leftUs = call.dropDeadUs() - nowUs;
-        if (nowUs == backlogUs) {
-            return nowUs - Math.max(0, tryUs - leftUs);
-        }
-        tryUs = Math.abs(leftUs - lastTryUs) <= tickUs ? leftUs : tryUs;
-        lastTryUs = leftUs;
-        return nowUs;
-    }
-
     private void onStarted(Started started) {
         Out o = outs.get(started.call());
         if (o == null || o.copy != started.copy()) {
@@ -274,10 +237,8 @@
             }
         }
         Pending p = pending.remove(started.call());
-        Throttle number = p == null ? null : numbers.get(p.call.item());
-        if (number != null) {
-            number.completed++;
-            number.gapUs = 0;
+        if (p != null) {
+            numbers.completed(p.call.item());
         }
         serveHeld();
     }
@@ -417,13 +378,8 @@
         totalPerS = Math.max(0, totalPerS) + part * (sum - Math.max(0, totalPerS));
         usualSum = -1;
         servers.values().removeIf(s -> s.stage == Stage.DEREGISTERED && s.open.isEmpty());
-        for (Throttle n : numbers.values()) {
-            n.limit = nextLimit(n.limit, n.completed, tdUs, tauUs, n.overloaded, true);
-            n.overloaded = false;
-            n.completed = 0;
-        }
-        firstTries.values().removeIf(firstUs -> firstUs < nowUs - hardLimitUs);
-        numbers.values().removeIf(n -> n.limit == OFF && n.open == 0);
+        numbers.endInterval(tauUs);
+        arrivals.forgetBefore(nowUs - hardLimitUs);
         intervalFromUs = nowUs;
         intervalEndUs = nowUs + TAU_US;
     }
@@ -452,9 +408,7 @@
             wake(p, p.releaseUs);
             return;
         }
-        Throttle number = numbers.get(p.call.item());
-        if (number != null && number.limit != OFF
-            && (number.open >= number.limit || nowUs < number.pausedUntilUs)) {
+        if (numbers.isBlocked(p.call.item(), nowUs)) {
             giveUp(p, set.bounds().maxRetryAfterUs());
             return;
         }
@@ -515,16 +469,21 @@
     private List<Server> allowed(Pending p) {
         List<Server> result = new ArrayList<>();
         for (Server s : servers.values()) {
-            boolean place = pools() ? places.get(p.gradeNo).contains(s.place)
-                : s.place != set.familyInfo().homeNo() && (!p.call.passing() || s.place == p.call.farEnd());
             boolean linked = s.size != 0 && (pools() || s.free < 0 || s.free >= Math.max(1, p.call.units()));
-            if (s.stage == Stage.HEALTHY && place && linked && !p.tried.contains(s.id) && sameGroup(p, s)) {
+            if (mayServe(p, s) && linked && !p.tried.contains(s.id)) {
                 result.add(s);
             }
         }
         return result;
     }
 
+    /** Whether the list and the call's own terms let the server have it. */
+    private boolean mayServe(Pending p, Server s) {
+        boolean place = pools() ? places.get(p.gradeNo).contains(s.place)
+            : s.place != set.familyInfo().homeNo() && (!p.call.passing() || s.place == p.call.farEnd());
+        return s.stage == Stage.HEALTHY && place && sameGroup(p, s);
+    }
+
     /** A call that may have run stays where its repeats are discarded. */
     private boolean sameGroup(Pending p, Server s) {
         if (p.ranAt == null || !p.grade.effect().equals("dedup")) {
@@ -712,20 +671,14 @@
         if (!pools() && s.free >= 0) {
             s.free -= p.call.units();
         }
-        Throttle number = numbers.get(o.item);
-        if (number != null) {
-            number.open++;
-        }
+        numbers.opened(o.item);
         out.accept(new Attempt(p.call.call(), s.id, patienceUs >= leftUs ? 0 : patienceUs));
     }
 
     private void close(long call, Out o) {
         outs.remove(call);
         o.server.open.remove(call);
-        Throttle number = numbers.get(o.item);
-        if (number != null && number.open > 0) {
-            number.open--;
-        }
+        numbers.closed(o.item);
         if (o.server.downSeen) {
             o.server.downSeen = false;
             o.server.coldSeenUs = nowUs;
@@ -742,7 +695,8 @@
             p.ranUs = o.sentUs;
         }
         if (r.state() == State.FAILED && (r.why() & 15) == 4) {
-            numberBusy(p);
+            numbers.busy(p.call.item(), nowUs);
+            giveUp(p, set.bounds().maxRetryAfterUs());
             return;
         }
         if (mayHaveRun && r.state() != State.FAILED) {
@@ -763,19 +717,6 @@
         place(p);
     }
 
-    /** The throttle once more, by number: set-ups to a number whose lines are busy are kept to a trickle. */
-    private void numberBusy(Pending p) {
-        String item = p.call.item();
-        if (!item.isEmpty()) {
-            Throttle number = numbers.computeIfAbsent(item, k -> new Throttle());
-            number.limit = number.limit == OFF ? Math.max(1, number.open) : number.limit;
-            number.overloaded = true;
-            number.gapUs = Math.min(TAU_US, Math.max(tdUs, 2 * number.gapUs));
-            number.pausedUntilUs = nowUs + number.gapUs;
-        }
-        giveUp(p, set.bounds().maxRetryAfterUs());
-    }
-
     /** The final answer, at once; with guidance where the caller can use it. */
     private void giveUp(Pending p, long stayAwayUs) {
         pending.remove(p.call.call());
@@ -914,15 +855,6 @@
         }
     }
 
-    private static final class Throttle {
-        int limit = OFF;
-        int open;
-        int completed;
-        boolean overloaded;
-        long gapUs;
-        long pausedUntilUs = Long.MIN_VALUE;
-    }
-
     private record Out(Server server, int copy, long sentUs, String item) {}
 
     private final class Pending {
