The list by DNS holds for a lease: silence of the name service ends it

Cause: a stage that was told once held until another was told. ServerListPoller told changes and nothing else, so that ten answers a second "still the same" and silence looked alike, and AttemptRules had nothing to judge by but the stage. Change: core.ListLeases. What the list says of a server holds for 7 s and the settings' DrainGrace from the sending of the question whose whole answer confirmed it (id, code, not cut, of the list itself, no earlier list). After that no attempt is chosen (Logic is told by ReadinessChanged), none leaves the core (AttemptRules, at the moment of leaving), none leaves the trunk where it waited for a connection or its bytes were stuck, and what was taken back is not counted among a call's attempts. Calls wait, go out with the first good answer, or are refused 20 ms before the answer is due. Calls that stand are not touched. Known servers count from the process's start. Without a list that is asked for, nothing runs out. The log has a line server-list for unconfirmed, expired, confirmed. Also: a whole list with a record on one server that cannot be read is adopted and confirmed, the record alone is passed over. Why it works: a drain that begins after the question counts as told 7 s later and is kept after the grace, which is the end of the lease at the earliest; one before the question is in the answer.

--- a/src/main/java/grebewick/Daemon.java
+++ b/src/main/java/grebewick/Daemon.java
@@ -20,6 +20,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import java.lang.management.ManagementFactory;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +31,7 @@
     private static final long STILL_COMING_US = 700_000;
     /** us. A planned restart waits for the longest deadline, counted as this where it is longer. */
     private static final long LONGEST_US = 3_000_000;
+    private static final long US_PER_MS = 1_000;
     /** us. In which peers have to take leave at the end. */
     private static final long MOST_LEAVE_US = 400_000;
 
@@ -88,7 +90,8 @@
         if (config != null) {
             node = new Node(vertx, config, discovery, clock, timers, Daemon::log);
             new LoopLagMonitor(clock, timers, this::activity, Daemon::log).start();
-            node.start().onSuccess(port -> log(config.name() + " serves at " + config.listen().host() + ":" + port))
+            node.start(clock.nowUs() - sinceProcessStartUs())
+                .onSuccess(port -> log(config.name() + " serves at " + config.listen().host() + ":" + port))
                 .onFailure(e -> fail(config.listen(), e));
         }
         if (second != null) {
@@ -98,6 +101,11 @@
         }
     }
 
+    /** The list in the configuration is of the process's start: what has changed since may not be in it. */
+    private static long sinceProcessStartUs() {
+        return ManagementFactory.getRuntimeMXBean().getUptime() * US_PER_MS;
+    }
+
     /** A file that cannot work leaves everything as it was. */
     private void reload(Map<String, String> env) {
         if (!env.containsKey("RELAY_CONFIG")) {
--- a/src/main/java/grebewick/Node.java
+++ b/src/main/java/grebewick/Node.java
@@ -6,6 +6,7 @@
 import grebewick.core.CallControl.Scope;
 import grebewick.core.Clock;
 import grebewick.core.Gatekeeper;
+import grebewick.core.ListConfirmation;
 import grebewick.core.Logic;
 import grebewick.core.Timers;
 import grebewick.discovery.DeterministicSubset;
@@ -79,20 +80,28 @@
         front.onCallOfFormerProcess(trunk::releaseStray);
     }
 
-    /** Opens all sockets; gives the port where callers are taken. */
+    /** Opens all sockets; gives the port where callers are taken. The list that the configuration has is the latest now. */
     public Future<Integer> start() {
+        return start(clock.nowUs());
+    }
+
+    /** Opens all sockets; the list that the configuration has was the latest at {@code knownAtUs}, by the clock handed in. */
+    public Future<Integer> start(long knownAtUs) {
         if (config.peerListen() != null) {
             peers = new PeerDatagrams(vertx, config.peers(), config.peersAll(), core::neighbourSays);
             peers.listen(config.peerListen()).onFailure(e -> log.accept("peers: " + e.getMessage()));
         }
         tell(Scope.PERSISTED, config.known());
+        if (discovery != null || config.names() != null) {
+            core.confirmed(ListConfirmation.ofWholeList(knownAtUs));
+        }
         if (discovery != null) {
             transfers = new DnsTransferClient(vertx, clock, timers, new SecureRandom(), discovery, config.known(),
                 list -> tell(Scope.COMPLETE, list), log);
             transfers.start();
         } else if (config.names() != null) {
-            poller = new ServerListPoller(vertx, timers, config.names(), config.index(), config.known(),
-                list -> tell(Scope.COMPLETE, list), log);
+            poller = new ServerListPoller(vertx, clock, timers, config.names(), config.index(), config.known(), new WholeList(),
+                log);
             poller.start();
         }
         return front.listen(config.listen()).map(server -> server.actualPort());
@@ -119,6 +128,19 @@
             peers == null ? Future.succeededFuture() : peers.close()).mapEmpty();
     }
 
+    /** What the platform's name service says. */
+    private final class WholeList implements ServerListPoller.Listener {
+        @Override
+        public void listed(List<Endpoint> servers) {
+            tell(Scope.COMPLETE, servers);
+        }
+
+        @Override
+        public void confirmed(long askedUs) {
+            core.confirmed(ListConfirmation.ofWholeList(askedUs));
+        }
+    }
+
     /** The list of servers as it now is. */
     void tell(Scope scope, List<Endpoint> whole) {
         List<Endpoint> list = subset.of(whole);
@@ -126,7 +148,7 @@
         Map<String, Long> dead = trunk.list(list);
         core.fleet(new Fleet(scope, 0, list.stream().map(Endpoint::entry).toList()), dead);
         trunk.endCallsOfFormerProcesses();
-        trunk.recall();
+        trunk.takeBackUnsent();
     }
 
     /** From now on tests fail, so that callers go elsewhere; calls are still taken. */
--- a/src/main/java/grebewick/core/AttemptRules.java
+++ b/src/main/java/grebewick/core/AttemptRules.java
@@ -7,14 +7,18 @@
 import grebewick.core.CallControl.Stage;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** The rules that an attempt has to keep, whatever the module has decided. Knows the stage last told of each server. */
 final class AttemptRules {
     private final Bounds bounds;
+    private final ListLeases leases;
     private final Map<String, Stage> stages = new HashMap<>();
 
-    AttemptRules(Bounds bounds) {
+    /** {@code leases}: for how long what the list says holds. */
+    AttemptRules(Bounds bounds, ListLeases leases) {
         this.bounds = bounds;
+        this.leases = leases;
     }
 
     /** News of the list. */
@@ -25,6 +29,7 @@
         for (ServerEntry entry : news.entries()) {
             stages.put(entry.server(), entry.stage());
         }
+        leases.listChanged();
     }
 
     /** Whether the list has a server, draining or not. */
@@ -33,9 +38,14 @@
         return stage != null && stage != Stage.DEREGISTERED;
     }
 
-    /** Whether a server is listed and takes new calls. */
-    boolean isHealthy(String server) {
-        return stages.get(server) == Stage.HEALTHY;
+    /** Whether a server is listed as taking new calls, and that still holds. */
+    boolean isReady(String server, long nowUs) {
+        return stages.get(server) == Stage.HEALTHY && leases.isValid(server, nowUs);
+    }
+
+    /** The servers of the list. */
+    Set<String> listed() {
+        return stages.keySet();
     }
 
     /** Why attempt {@code copy} of a call may not be made at that server, or null. */
@@ -45,7 +55,7 @@
             return "call " + call.id + " is answered";
         } else if (call.attempt != null) {
             return "call " + call.id + " has an attempt out";
-        } else if (copy >= bounds.attemptsCap()) {
+        } else if (copy - call.takenBack >= bounds.attemptsCap()) {
             return "call " + call.id + " has no attempts left";
         } else if (nowUs < call.notBeforeUs) {
             return "call " + call.id + " awaits its release";
@@ -53,6 +63,8 @@
             return server + " is not listed";
         } else if (stage != Stage.HEALTHY) {
             return server + " drains or is gone";
+        } else if (!leases.isValid(server, nowUs)) {
+            return server + " was not confirmed to be ready for too long";
         }
         return nowUs >= call.dropDeadUs ? "call " + call.id + " is past its time" : null;
     }
--- a/src/main/java/grebewick/core/CallControl.java
+++ b/src/main/java/grebewick/core/CallControl.java
@@ -1,6 +1,7 @@
 package grebewick.core;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -40,6 +41,12 @@
     /** Answer to {@link AskLoad}, or news of free circuits (unasked, with a cost of 0). */
     record Checked(State state, String server, long costTimeUs, List<Double> metrics) implements Event {}
 
+    /**
+     * What the list says of servers has not been confirmed for too long, or has been again: none of {@code expired} gets an
+     * attempt until this is told without it. That is neither a drain nor an end.
+     */
+    record ReadinessChanged(Set<String> expired) implements Event {}
+
     /** Bytes from another gateway of the tier. */
     record NeighbourSays(int srcPeer, byte[] bytes) implements Event {}
 
--- a/src/main/java/grebewick/core/CallState.java
+++ b/src/main/java/grebewick/core/CallState.java
@@ -10,6 +10,8 @@
     final long dropDeadUs;
     /** Attempts so far. */
     int copies;
+    /** Of them, those that did not leave, as their server's readiness had run out: no server counts them. */
+    int takenBack;
     /** Null: none is open. */
     OpenAttempt attempt;
     boolean answered;
--- a/src/main/java/grebewick/core/EventLog.java
+++ b/src/main/java/grebewick/core/EventLog.java
@@ -37,7 +37,9 @@
         /** A connection with a server did not come up. */
         CONNECT_FAILED,
         /** What is known of a server, or of a process behind its address, has changed. */
-        SERVER_STATE;
+        SERVER_STATE,
+        /** The list of servers, or a zone of it, was not confirmed for long, has expired, or is confirmed again. */
+        SERVER_LIST;
 
         private final String text = name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
--- a/src/main/java/grebewick/core/Gatekeeper.java
+++ b/src/main/java/grebewick/core/Gatekeeper.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -33,12 +34,17 @@
     private final EventLog eventLog;
     private final CallTable<P> calls = new CallTable<>();
     private final SpentCalls spentCalls = new SpentCalls();
+    private final ListLeases leases;
     private final AttemptRules rules;
     private final PendingTimers pendingTimers;
     private final ModuleEvents events;
     private final InterruptedCalls interruptedCalls = new InterruptedCalls();
     /** Attempts that wait for what has come in to be read. */
     private final ArrayDeque<OpenAttempt> leaving = new ArrayDeque<>();
+    /** Servers of the list whose readiness has run out, as the module was told last. */
+    private Set<String> expired = Set.of();
+    /** us. When the leases are looked at next at the latest. */
+    private long leasesArmedUs = Long.MAX_VALUE;
     private long runNo;
     private boolean running;
     private long nowUs;
@@ -53,7 +59,8 @@
         this.peers = peers;
         this.log = log;
         eventLog = new EventLog(log, clock);
-        rules = new AttemptRules(set.bounds());
+        leases = new ListLeases(set.rules().drainGraceUs(), eventLog);
+        rules = new AttemptRules(set.bounds(), leases);
         pendingTimers = new PendingTimers(timers, () -> runOnce(() -> {}));
         events = new ModuleEvents(module, this::act, log);
     }
@@ -113,8 +120,8 @@
     }
 
     /**
-     * What was chosen leaves. Guards against set-ups for callers that have left and to servers that drain: a loop that
-     * comes late has chosen before it has read what came in meanwhile.
+     * What was chosen leaves. Guards against set-ups for callers that have left, to servers that drain and to those whose
+     * readiness has run out: a loop that comes late has chosen before it has read what came in meanwhile.
      */
     private void leave() {
         for (OpenAttempt attempt = leaving.poll(); attempt != null; attempt = leaving.poll()) {
@@ -122,7 +129,7 @@
             if (call == null || call.attempt != attempt) {
                 continue;
             }
-            if (!rules.isHealthy(attempt.server)) {
+            if (!rules.isReady(attempt.server, nowUs)) {
                 end(call, State.IGNORED, 0, List.of());
             } else if (servers.isGiveUpUnheard(call.id) || nowUs < call.heldUntilUs) {
                 hold(call);
@@ -198,6 +205,9 @@
             call.mayHaveRun |= attempt.left;
         }
         call.mayHaveRun |= state == State.FAILED;
+        if (state == State.IGNORED && !leases.isValid(attempt.server, nowUs)) {
+            call.takenBack++;
+        }
         eventLog.write(Event.ATTEMPT_ENDED, () -> "call=" + EventLog.id(call.offer.id()) + " attempt=" + attempt.copy + " server="
             + attempt.server + " state=" + state + " left=" + attempt.left + " after-ms=" + (nowUs - attempt.chosenUs) / 1000);
         if (call.isDetached) {
@@ -389,11 +399,52 @@
     public void fleet(Fleet news, Map<String, Long> dead) {
         runOnce(() -> {
             rules.update(news);
+            // First, so that the module sends nothing to a listed server that is not confirmed.
+            checkLeases();
             events.add(news);
             new TreeMap<>(dead).forEach((server, beforeUs) -> interrupt(server, beforeUs, Interruption.GONE_FROM_LIST));
         });
     }
 
+    /** What is held of the list was confirmed; from the first time on it holds for no longer than a lease. */
+    public void confirmed(ListConfirmation confirmation) {
+        runOnce(() -> {
+            leases.confirm(confirmation);
+            checkLeases();
+        });
+    }
+
+    /** The list is put together from these zones from now on. */
+    public void zonesFollowed(Collection<String> zones) {
+        runOnce(() -> {
+            leases.retainZones(zones);
+            checkLeases();
+        });
+    }
+
+    /** Whether what the list says of a server was confirmed recently enough to hold. */
+    public boolean isConfirmed(String server) {
+        return leases.isValid(server, Math.max(nowUs, clock.nowUs()));
+    }
+
+    private void checkLeases() {
+        if (nowUs >= leases.dueUs()) {
+            Set<String> now = leases.check(nowUs, rules.listed());
+            if (!now.equals(expired)) {
+                boolean isMore = !expired.containsAll(now);
+                expired = now;
+                events.add(new ReadinessChanged(now));
+                if (isMore) {
+                    servers.takeBackUnsent();
+                }
+            }
+        }
+        if (leases.dueUs() < leasesArmedUs) {
+            leasesArmedUs = leases.dueUs();
+            pendingTimers.add(leasesArmedUs, PendingTimers.Kind.LIST_LEASES, 0, 0);
+        }
+    }
+
     /** The server's process is known to be dead: it refuses connections. */
     public void died(String server) {
         runOnce(() -> interrupt(server, Long.MAX_VALUE, Interruption.CONNECTION_REFUSED));
@@ -475,6 +526,7 @@
         runNo++;
         nowUs = Math.max(nowUs, clock.nowUs());
         try {
+            checkLeases();
             step.run();
             events.deliver(nowUs);
             for (PendingTimers.Timer timer = pendingTimers.pollDue(nowUs); timer != null; timer = pendingTimers.pollDue(nowUs)) {
@@ -493,6 +545,10 @@
             case HELD_ATTEMPT -> endHold(timer.call(), timer.number());
             case END_OF_ATTEMPT -> endAttempt(timer.call(), timer.number());
             case END_OF_CALL -> endCall(timer.call());
+            case LIST_LEASES -> {
+                leasesArmedUs = Long.MAX_VALUE;
+                checkLeases();
+            }
             case INTERRUPTED_CALLS -> {
                 interruptedCalls.timerFired();
                 endInterruptedCalls();
--- a/src/main/java/grebewick/core/Logic.java
+++ b/src/main/java/grebewick/core/Logic.java
@@ -29,6 +29,8 @@
     /** Parts of the usual lines in use: above, a server has not died, below, it has (ours: far apart). */
     private static final double STILL_UP = 0.5;
     private static final double GONE_DOWN = 0.1;
+    /** us. Before a call's end a refusal still tells its caller that trying again is harmless. */
+    private static final long REFUSAL_LEAD_US = 20_000;
     static final int OFF = Integer.MAX_VALUE;
     private static final long UNPHASED = Long.MIN_VALUE;
     /** Name of the periodic reminder; call ids are below it. */
@@ -39,6 +41,8 @@
     private final Map<String, Integer> gradeOf = new HashMap<>();
     private final List<Set<Integer>> places = new ArrayList<>();
     private final Map<String, Server> servers = new TreeMap<>();
+    /** Servers that nobody has confirmed to be ready for too long. */
+    private Set<String> expired = Set.of();
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
     private final Map<Long, Out> outs = new HashMap<>();
     private final Set<Long> standing = new HashSet<>();
@@ -125,6 +129,8 @@
             onFleet(fleet);
         } else if (event instanceof Hangup hangup) {
             onHangup(hangup.call());
+        } else if (event instanceof ReadinessChanged change) {
+            onReadinessChanged(change.expired());
         } else if (event instanceof Checked checked && servers.containsKey(checked.server())) {
             learn(servers.get(checked.server()), checked.metrics());
         }
@@ -195,9 +201,27 @@
         usualSum = -1;
         // Not within the loop: a server's part is one of all that are listed.
         servers.values().stream().filter(s -> s.rationFromUs == UNPHASED && cold(s)).forEach(this::phase);
+        endWaitForConfirmation();
         serveHeld();
     }
 
+    /** Servers get nothing while nobody confirms that they are ready; calls wait for that. */
+    private void onReadinessChanged(Set<String> now) {
+        expired = now;
+        endWaitForConfirmation();
+        serveHeld();
+    }
+
+    /** Calls that waited for a confirmation look for a server anew, with time as any call has. */
+    private void endWaitForConfirmation() {
+        for (Pending p : pending.values()) {
+            if (p.awaitsConfirmation) {
+                p.awaitsConfirmation = false;
+                p.giveUpUs = Math.min(p.call.dropDeadUs(), Math.max(p.giveUpUs, nowUs + holdUs));
+            }
+        }
+    }
+
     private void onCall(Call call) {
         Integer grade = gradeOf.get(call.band());
         if (pending.containsKey(call.call())) {
@@ -412,6 +436,10 @@
             giveUp(p, set.bounds().maxRetryAfterUs());
             return;
         }
+        if (awaitsConfirmation(p)) {
+            waitForConfirmation(p);
+            return;
+        }
         List<Server> allowed = allowed(p);
         Server first = null;
         for (Server s : allowed) {
@@ -435,6 +463,32 @@
         }
     }
 
+    /** Whether servers might take the call, and none of them is confirmed to be ready. */
+    private boolean awaitsConfirmation(Pending p) {
+        boolean isOneExpired = false;
+        if (!expired.isEmpty()) {
+            for (Server s : servers.values()) {
+                if (mayServe(p, s)) {
+                    if (isConfirmed(s)) {
+                        return false;
+                    }
+                    isOneExpired = true;
+                }
+            }
+        }
+        return isOneExpired;
+    }
+
+    private void waitForConfirmation(Pending p) {
+        long lastUs = p.call.dropDeadUs() - REFUSAL_LEAD_US;
+        p.awaitsConfirmation = nowUs < lastUs;
+        if (p.awaitsConfirmation) {
+            wake(p, lastUs);
+        } else {
+            giveUp(p, tdUs);
+        }
+    }
+
     private void wake(Pending p, long atUs) {
         if (p.wakeUs != atUs) {
             p.wakeUs = atUs;
@@ -446,7 +500,7 @@
     private void serveHeld() {
         List<Pending> held = new ArrayList<>();
         for (Pending p : pending.values()) {
-            if (p.server == null && nowUs >= p.releaseUs) {
+            if (p.server == null && nowUs >= p.releaseUs && !p.awaitsConfirmation) {
                 held.add(p);
             }
         }
@@ -470,7 +524,7 @@
         List<Server> result = new ArrayList<>();
         for (Server s : servers.values()) {
             boolean linked = s.size != 0 && (pools() || s.free < 0 || s.free >= Math.max(1, p.call.units()));
-            if (mayServe(p, s) && linked && !p.tried.contains(s.id)) {
+            if (mayServe(p, s) && linked && !p.tried.contains(s.id) && isConfirmed(s)) {
                 result.add(s);
             }
         }
@@ -484,6 +538,11 @@
         return s.stage == Stage.HEALTHY && place && sameGroup(p, s);
     }
 
+    /** Whether the server's readiness has not run out. */
+    private boolean isConfirmed(Server s) {
+        return !expired.contains(s.id);
+    }
+
     /** A call that may have run stays where its repeats are discarded. */
     private boolean sameGroup(Pending p, Server s) {
         if (p.ranAt == null || !p.grade.effect().equals("dedup")) {
@@ -702,8 +761,12 @@
         if (mayHaveRun && r.state() != State.FAILED) {
             p.releaseUs = nowUs + set.familyInfo().releaseUs();
         }
+        if (r.state() == State.IGNORED && !isConfirmed(o.server)) {
+            p.takenBack++;
+        }
         boolean late = Math.max(nowUs, p.releaseUs) >= p.aimUs;
-        if (p.attempts >= set.bounds().attemptsCap() || p.releaseUs >= p.call.dropDeadUs() || p.call.passing()
+        if (p.attempts - p.takenBack >= set.bounds().attemptsCap() || p.releaseUs >= p.call.dropDeadUs()
+            || p.call.passing()
             || mayHaveRun && p.grade.effect().equals("fragile") || late && p.grade.lateValue() <= 0) {
             giveUp(p, tdUs);
             return;
@@ -865,6 +928,8 @@
         final Set<String> tried = new HashSet<>();
         Server server;
         int attempts;
+        /** Of them, those that did not leave, as their server's readiness had run out. */
+        int takenBack;
         long aimUs;
         long spillUs;
         long giveUpUs;
@@ -872,6 +937,8 @@
         long wakeUs = Long.MIN_VALUE;
         Server ranAt;
         long ranUs;
+        /** No server that may have it is confirmed to be ready: looked at again once that has changed. */
+        boolean awaitsConfirmation;
 
         Pending(Call call, int gradeNo) {
             this.call = call;
--- a/src/main/java/grebewick/core/PendingTimers.java
+++ b/src/main/java/grebewick/core/PendingTimers.java
@@ -9,7 +9,7 @@
  */
 final class PendingTimers {
     /** What is due. */
-    enum Kind { REMINDER, HELD_ATTEMPT, END_OF_ATTEMPT, END_OF_CALL, INTERRUPTED_CALLS }
+    enum Kind { REMINDER, HELD_ATTEMPT, END_OF_ATTEMPT, END_OF_CALL, INTERRUPTED_CALLS, LIST_LEASES }
 
     /**
      * One of them.
--- a/src/main/java/grebewick/core/Servers.java
+++ b/src/main/java/grebewick/core/Servers.java
@@ -21,6 +21,9 @@
         return false;
     }
 
+    /** The readiness of some servers has run out: set-ups that have not left for them are ended. */
+    default void takeBackUnsent() {}
+
     /** Release a call that stands. */
     void release(long call, String server);
 
--- a/src/main/java/grebewick/discovery/dns/PolledServerList.java
+++ b/src/main/java/grebewick/discovery/dns/PolledServerList.java
@@ -60,9 +60,14 @@
         if (list == null) {
             return false;
         }
-        boolean heard = hear(answer);
-        if (newer || heard && unsure.stream().noneMatch(PolledServer::isUnsure)) {
-            tell();
+        boolean heard = false;
+        try {
+            heard = hear(answer);
+        } finally {
+            // A record on one server that makes no sense takes nothing from the list.
+            if (newer || heard && unsure.stream().noneMatch(PolledServer::isUnsure)) {
+                tell();
+            }
         }
         return newer;
     }
--- a/src/main/java/grebewick/discovery/dns/ServerListPoller.java
+++ b/src/main/java/grebewick/discovery/dns/ServerListPoller.java
@@ -2,6 +2,7 @@
 
 import grebewick.config.Address;
 import grebewick.config.Endpoint;
+import grebewick.core.Clock;
 import grebewick.core.LimitedLog;
 import grebewick.core.Timers;
 import grebewick.discovery.dns.ServerListMessage.Question;
@@ -25,7 +26,8 @@
 /**
  * Polls the name service for the list of servers and tells each newer one. Answers may get lost, fail, come cut
  * short or be another's: only a whole answer to a question that is open counts, and none undoes a later list. Of an
- * answer that was cut, the drains alone are heeded.
+ * answer that was cut, the drains alone are heeded. A whole answer to the question after the list, of no earlier list than the
+ * one held, confirms it as of the moment of the question; nothing else does.
  */
 public final class ServerListPoller {
     /** us. Between questions: lost datagrams must not use up the time in which a drain is to be heeded. */
@@ -39,17 +41,31 @@
     /** Complaints that are logged before only some are. */
     private static final int MOST_COMPLAINTS = 10;
     private static final Question LIST = new Question("_work._tcp.fleet.local.", Type.SRV);
+    private static final Record LIST_RECORD = LIST.toRecord();
+
+    /** Who is told what the name service says of the list. */
+    public interface Listener {
+        /** A newer list, as far as it is known. */
+        void listed(List<Endpoint> servers);
+
+        /** The list that is held was the latest when a question was sent, at {@code askedUs}. */
+        default void confirmed(long askedUs) {}
+    }
+
+    private record OpenQuestion(Record asked, long askedUs) {}
 
     private final Vertx vertx;
+    private final Clock clock;
     private final Timers timers;
     private final PolledServerList servers;
+    private final Listener listener;
     private final Consumer<String> log;
     private final LimitedLog complaints;
-    private final Map<Integer, Record> open = new LinkedHashMap<>() {
+    private final Map<Integer, OpenQuestion> open = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Integer, Record> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Integer, OpenQuestion> eldest) {
             return size() > MOST_OPEN;
         }
     };
@@ -61,14 +77,16 @@
     private byte[] last = {};
 
     /** Tells lists later than event {@code index}, at which {@code known} held. */
-    public ServerListPoller(Vertx vertx, Timers timers, Address server, long index, List<Endpoint> known,
-                            Consumer<List<Endpoint>> news, Consumer<String> log) {
+    public ServerListPoller(Vertx vertx, Clock clock, Timers timers, Address server, long index, List<Endpoint> known,
+                            Listener listener, Consumer<String> log) {
         this.vertx = vertx;
+        this.clock = clock;
         this.timers = timers;
         this.server = server;
+        this.listener = listener;
         this.log = log;
         complaints = new LimitedLog(log, "names: ", MOST_COMPLAINTS);
-        servers = new PolledServerList(index, known, news);
+        servers = new PolledServerList(index, known, listener::listed);
     }
 
     /** Starts asking. */
@@ -85,7 +103,10 @@
             }
             byte[] bytes = packet.data().getBytes();
             if (isRepeat(bytes)) {
-                open.remove((bytes[0] & 0xff) << 8 | bytes[1] & 0xff);
+                OpenQuestion question = open.remove((bytes[0] & 0xff) << 8 | bytes[1] & 0xff);
+                if (question != null && LIST_RECORD.equals(question.asked)) {
+                    listener.confirmed(question.askedUs);
+                }
                 return;
             }
             try {
@@ -132,7 +153,7 @@
         Record asked = question.toRecord();
         // The id is dnsjava's, drawn at random.
         Message message = Message.newQuery(asked);
-        open.put(message.getHeader().getID(), asked);
+        open.put(message.getHeader().getID(), new OpenQuestion(asked, clock.nowUs()));
         DatagramSocket on = socket;
         on.send(Buffer.buffer(message.toWire()), server.port(), server.host()).onFailure(e -> unsent(on, e));
     }
@@ -153,7 +174,8 @@
 
     private void read(byte[] bytes) throws IOException {
         ServerListMessage answer = ServerListMessage.of(new Message(bytes));
-        if (!answer.answers(open.get(answer.id()))) {
+        OpenQuestion question = open.get(answer.id());
+        if (question == null || !answer.answers(question.asked)) {
             complaints.complain("an answer to no open question");
             return;
         }
@@ -172,9 +194,15 @@
         if (servers.isStale(answer)) {
             return;
         }
-        last = answer.isOnList() ? bytes : last;
-        if (servers.take(answer)) {
-            askServers();
+        try {
+            if (servers.take(answer)) {
+                askServers();
+            }
+        } finally {
+            if (answer.isOnList()) {
+                last = bytes;
+                listener.confirmed(question.askedUs);
+            }
         }
     }
 }
--- a/src/main/java/grebewick/lab/ProbedGatekeeper.java
+++ b/src/main/java/grebewick/lab/ProbedGatekeeper.java
@@ -94,7 +94,7 @@
         trunk.attach(core);
         SipFront front = new SipFront(vertx, config.settings(), config.sockets(), core, clock, timers, log);
         tell(trunk, core, Scope.PERSISTED, config.known());
-        new ServerListPoller(vertx, timers, config.names(), config.index(), config.known(),
+        new ServerListPoller(vertx, clock, timers, config.names(), config.index(), config.known(),
             list -> tell(trunk, core, Scope.COMPLETE, list), log).start();
         front.listen(config.listen()).onFailure(e -> log.accept("cannot listen: " + e.getMessage()));
     }
@@ -102,7 +102,7 @@
     private static void tell(Trunk trunk, Gatekeeper<byte[]> core, Scope scope, List<Endpoint> list) {
         Map<String, Long> dead = trunk.list(list);
         core.fleet(new Fleet(scope, 0, list.stream().map(Endpoint::entry).toList()), dead);
-        trunk.recall();
+        trunk.takeBackUnsent();
     }
 
     private Timers timers(Vertx vertx, EventLoop loop) {
--- a/src/main/java/grebewick/lab/fleet/Distribution.java
+++ b/src/main/java/grebewick/lab/fleet/Distribution.java
@@ -14,7 +14,8 @@
 public enum Distribution {
     /** Each gatekeeper polls one name service for the whole list, ten times a second. */
     POLL(options -> new PolledNameService(), (vertx, clock, timers, task, news, log) -> {
-        ServerListPoller poller = new ServerListPoller(vertx, timers, task.controlMachines().get(0), 0, List.of(), news, log);
+        ServerListPoller poller = new ServerListPoller(vertx, clock, timers, task.controlMachines().get(0), 0, List.of(),
+            news::accept, log);
         return ServerListSource.of(poller::start, poller::close);
     }),
 
--- a/src/main/java/grebewick/trunk/Trunk.java
+++ b/src/main/java/grebewick/trunk/Trunk.java
@@ -214,24 +214,34 @@
     }
 
     /**
-     * Takes back what has not left for a server that drains or is gone; to be called once the core knows of it, and
-     * so chooses no such server again. Guards the rule on drains, which counts the first byte that leaves, where the
-     * choice was made before: for a set-up that waits for its connection, and for one whose bytes are stuck.
+     * Takes back what has not left for a server that drains, is gone, or was not confirmed to be ready for too long; to be
+     * called once the core knows of it, and so chooses no such server again. Guards the rule on drains, which counts the first
+     * byte that leaves, where the choice was made before: for a set-up that waits for its connection, and for one whose bytes
+     * are stuck.
      */
-    public void recall() {
+    @Override
+    public void takeBackUnsent() {
         for (CallLeg leg : List.copyOf(byCall.values())) {
-            if (leg.stands || leg.connections.takesCalls() || byCall.get(leg.call) != leg) {
+            if (leg.stands || mayHaveSetUps(leg.connections) || byCall.get(leg.call) != leg) {
                 continue;
             }
             if (leg.on == null) {
-                forget(leg);
-                core.ended(leg.call, leg.copy, State.IGNORED, 0, List.of());
+                takeBack(leg);
             } else if (leg.on.unwritten() > 0) {
-                leg.connections.drop(leg.on, "holds-a-set-up-for-a-draining-server");
+                leg.connections.drop(leg.on, "holds-a-set-up-for-a-server-that-takes-none");
             }
         }
     }
 
+    private boolean mayHaveSetUps(ServerConnections connections) {
+        return connections.takesCalls() && core.isConfirmed(connections.id);
+    }
+
+    private void takeBack(CallLeg leg) {
+        forget(leg);
+        core.ended(leg.call, leg.copy, State.IGNORED, 0, List.of());
+    }
+
     // ---- from the core
 
     @Override
@@ -360,8 +370,13 @@
         for (ServerConnections connections : now) {
             for (CallLeg leg : legs(connections)) {
                 // Else it was given up, or taken back, meanwhile.
-                if (leg.on == null && byCall.get(leg.call) == leg) {
+                if (leg.on != null || byCall.get(leg.call) != leg) {
+                    continue;
+                }
+                if (mayHaveSetUps(connections)) {
                     leave(leg);
+                } else {
+                    takeBack(leg);
                 }
             }
         }
--- a/src/test/java/grebewick/NodeTest.java
+++ b/src/test/java/grebewick/NodeTest.java
@@ -218,7 +218,7 @@
                 int sent = s.on(() -> {
                     int last = StuckConnection.fill(trunk);
                     trunk.list(List.of(endpoint("s3", server.getLocalPort(), Stage.DRAINING, 0)));
-                    trunk.recall();
+                    trunk.takeBackUnsent();
                     assertThat(trunk.unwritten()).isZero();
                     return last;
                 });
--- a/src/test/java/grebewick/core/AttemptRulesTest.java
+++ b/src/test/java/grebewick/core/AttemptRulesTest.java
@@ -14,7 +14,8 @@
 class AttemptRulesTest {
     private static final long NOW = 1_700_000_000_000_000L;
 
-    private final AttemptRules rules = new AttemptRules(Sites.settings().bounds());
+    private final ListLeases leases = new ListLeases(0, new EventLog(line -> {}, () -> 0));
+    private final AttemptRules rules = new AttemptRules(Sites.settings().bounds(), leases);
     private final CallState<String> call = new CallState<>(7, null, null, NOW + 1);
 
     @BeforeEach
@@ -38,9 +39,29 @@
         assertThat(violation(0, "unknown")).isEqualTo("unknown is not listed");
         assertThat(violation(0, "draining")).isEqualTo("draining drains or is gone");
         assertThat(violation(0, "gone")).isEqualTo("gone drains or is gone");
-        assertThat(rules.isHealthy("well")).isTrue();
-        assertThat(rules.isHealthy("draining")).isFalse();
-        assertThat(rules.isHealthy("unknown")).isFalse();
+        assertThat(rules.isReady("well", 0)).isTrue();
+        assertThat(rules.isReady("draining", 0)).isFalse();
+        assertThat(rules.isReady("unknown", 0)).isFalse();
+    }
+
+    /** Guards against attempts at a server that nobody has confirmed to be ready for too long. */
+    @Test
+    void neverToAServerWhoseReadinessHasRunOut() {
+        leases.confirm(ListConfirmation.ofWholeList(NOW - ListLeases.TOLD_US));
+        assertThat(violation(0, "well")).isEqualTo("well was not confirmed to be ready for too long");
+        assertThat(rules.isReady("well", NOW)).isFalse();
+        leases.confirm(ListConfirmation.ofWholeList(NOW - ListLeases.TOLD_US + 1));
+        assertThat(violation(0, "well")).isNull();
+        assertThat(rules.isReady("well", NOW)).isTrue();
+    }
+
+    /** Guards a call whose attempts did not leave: no server counts them. */
+    @Test
+    void anAttemptThatWasTakenBackIsNotCounted() {
+        assertThat(violation(4, "well")).isEqualTo("call 7 has no attempts left");
+        call.takenBack = 1;
+        assertThat(violation(4, "well")).isNull();
+        assertThat(violation(5, "well")).isEqualTo("call 7 has no attempts left");
     }
 
     /** Changes alone name a server that is gone; a whole list leaves it out. */
--- a/src/test/java/grebewick/core/LogicTest.java
+++ b/src/test/java/grebewick/core/LogicTest.java
@@ -506,6 +506,49 @@
         }
     }
 
+    /** Guards calls that waited for a confirmation against refusals at its return, and against attempts before it. */
+    @Test
+    void callsWaitWhileNoServerIsConfirmedAndAllGoOutThen() {
+        Rig rig = new Rig(Rig.settings(), 1, Rig.up("s0", 0), Rig.up("s1", 1)).settled();
+        rig.feed(new ReadinessChanged(Set.of("s0", "s1")));
+        for (int i = 0; i < 30; i++) {
+            assertTrue(rig.offer(i % 2).isEmpty());
+        }
+        assertTrue(rig.pass(2 * SECOND).isEmpty());
+        assertEquals(30, rig.feed(new ReadinessChanged(Set.of())).stream().filter(x -> x instanceof Attempt).count());
+    }
+
+    /** Guards calls against waiting for a server where another that may have them is confirmed. */
+    @Test
+    void aCallGoesToTheServerThatIsConfirmed() {
+        Rig rig = new Rig(Rig.settings(), 1, Rig.up("s0", 0), Rig.up("s1", 1)).settled();
+        rig.feed(new ReadinessChanged(Set.of("s0")));
+        attempt(rig.offer(0), "s1");
+    }
+
+    /** Guards a call's last attempt: one that was taken back, as its server is not confirmed, is none. */
+    @Test
+    void attemptsThatWereTakenBackAreNotCounted() {
+        Rig rig = new Rig(Rig.settings(), 1, Rig.up("s0", 0)).settled();
+        Attempt a = attempt(rig.offer(0), "s0");
+        for (int taken = 0; taken < 4; taken++) {
+            rig.feed(new ReadinessChanged(Set.of("s0")));
+            assertTrue(rig.ends(a, State.IGNORED, 0).isEmpty());
+            a = attempt(rig.feed(new ReadinessChanged(Set.of())), "s0");
+        }
+        rig.stands(a);
+    }
+
+    /** Guards the caller: it has its answer while it still waits for one. */
+    @Test
+    void aCallThatWaitsForAConfirmationIsRefusedBeforeItsEnd() {
+        Rig rig = new Rig(Rig.settings(), 1, Rig.up("s0", 0)).settled();
+        rig.feed(new ReadinessChanged(Set.of("s0")));
+        assertTrue(rig.offer(0).isEmpty());
+        assertTrue(rig.pass(3 * SECOND - 100_000).isEmpty());
+        assertTrue(rig.pass(90_000).get(0) instanceof Refuse);
+    }
+
     @Test
     void theModuleKeepsItsSizeAndColumns() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/grebewick/core/Logic.java"));
--- a/src/test/java/grebewick/discovery/dns/ServerListPollerTest.java
+++ b/src/test/java/grebewick/discovery/dns/ServerListPollerTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.xbill.DNS.ARecord;
 import org.xbill.DNS.DClass;
 import org.xbill.DNS.Flags;
@@ -43,18 +45,20 @@
     private int lost;
     private boolean garbage;
     private int asked;
+    private int listsAsked;
     private int rcode;
     private int otherId;
     private boolean cut;
     private boolean nobody;
     private boolean onlyLists;
+    private boolean onlyDetails;
     private ServerListPoller poller;
 
     @BeforeEach
     void start() {
         Address at = server();
         s.on(() -> {
-            poller = new ServerListPoller(s.vertx, s.clock, at, 3, List.of(), told::add, log::add);
+            poller = new ServerListPoller(s.vertx, s.clock, s.clock, at, 3, List.of(), told::add, log::add);
             poller.start();
             return null;
         });
@@ -64,7 +68,9 @@
         DatagramSocket server = s.on(() -> s.vertx.createDatagramSocket());
         server.handler(packet -> {
             asked++;
-            if (lost-- <= 0 && (!onlyLists || isForList(packet.data().getBytes()))) {
+            listsAsked += isForList(packet.data().getBytes()) ? 1 : 0;
+            if (lost-- <= 0 && (!onlyLists || isForList(packet.data().getBytes()))
+                && !(onlyDetails && isForList(packet.data().getBytes()))) {
                 server.send(Buffer.buffer(garbage ? new byte[] {1, 2, 3} : answer(packet.data().getBytes())),
                     packet.sender().port(), packet.sender().host());
             }
@@ -199,7 +205,7 @@
     void aDrainIsToldOnceTheListHasIt() {
         Address at = server();
         s.on(() -> {
-            new ServerListPoller(s.vertx, s.clock, at, 3, List.of(KNOWN), told::add, log::add).start();
+            new ServerListPoller(s.vertx, s.clock, s.clock, at, 3, List.of(KNOWN), told::add, log::add).start();
             onlyLists = true;
             serial = 4;
             priority = 1;
@@ -220,7 +226,7 @@
         slow.handler(held::add);
         Address at = new Address("127.0.0.1", s.await(() -> slow.listen(0, "127.0.0.1")).localAddress().port());
         s.on(() -> {
-            new ServerListPoller(s.vertx, s.clock, at, 3, List.of(KNOWN), heard::add, log::add).start();
+            new ServerListPoller(s.vertx, s.clock, s.clock, at, 3, List.of(KNOWN), heard::add, log::add).start();
             return null;
         });
         s.play("wait 3000").until(() -> held.size() == 31);
@@ -276,7 +282,8 @@
             "s-%08x".formatted(i), "east", 5000 + i, i % 8, false, 1_700_000_000_000L + i)).toList());
         s.on(() -> {
             names.list(hosts);
-            new ServerListPoller(s.vertx, s.clock, new Address("127.0.0.1", port), 1, List.of(), told::add, log::add).start();
+            new ServerListPoller(s.vertx, s.clock, s.clock, new Address("127.0.0.1", port), 1, List.of(), told::add, log::add)
+                .start();
             return null;
         });
         int[] looks = {0};
@@ -304,7 +311,7 @@
         s.on(() -> {
             cut = true;
             priority = 1;
-            new ServerListPoller(s.vertx, s.clock, at, 3, List.of(KNOWN), told::add, log::add).start();
+            new ServerListPoller(s.vertx, s.clock, s.clock, at, 3, List.of(KNOWN), told::add, log::add).start();
             return null;
         });
         s.until(() -> told.size() == 1);
@@ -328,4 +335,81 @@
         s.play("wait 200").until(() -> told.size() == 2);
         assertThat(told.get(1)).isEmpty();
     }
+
+    /** A listener that takes the moments of confirmed questions alone. */
+    private static ServerListPoller.Listener confirmations(List<Long> to) {
+        return new ServerListPoller.Listener() {
+            @Override
+            public void listed(List<Endpoint> servers) {}
+
+            @Override
+            public void confirmed(long askedUs) {
+                to.add(askedUs);
+            }
+        };
+    }
+
+    /** What an answer is like that does not say that the list held is the latest. */
+    private enum NoConfirmation {
+        FAILED, CUT, OTHER_ID, OLDER, NONE_TO_THE_LIST, UNREADABLE
+    }
+
+    private void spoil(NoConfirmation how) {
+        rcode = how == NoConfirmation.FAILED ? 2 : 0;
+        cut = how == NoConfirmation.CUT;
+        otherId = how == NoConfirmation.OTHER_ID ? 1 : 0;
+        serial = how == NoConfirmation.OLDER ? 3 : 4;
+        onlyDetails = how == NoConfirmation.NONE_TO_THE_LIST;
+        garbage = how == NoConfirmation.UNREADABLE;
+    }
+
+    /** Guards against a list that counts as confirmed though no whole answer to the question after it came. */
+    @ParameterizedTest
+    @EnumSource(NoConfirmation.class)
+    void nothingButAWholeAnswerOnTheListConfirmsIt(NoConfirmation how) {
+        List<Long> confirmed = new ArrayList<>();
+        Address at = server();
+        serial = 4;
+        s.on(() -> {
+            new ServerListPoller(s.vertx, s.clock, s.clock, at, 3, List.of(KNOWN), confirmations(confirmed), log::add).start();
+            return null;
+        });
+        s.until(() -> confirmed.size() == 1);
+        s.on(() -> {
+            spoil(how);
+            return null;
+        });
+        // Both pollers' questions of the start and of ten polls: none is left that a good answer could come to.
+        s.play("wait 1000").until(() -> listsAsked == 2 * 11);
+        long lastUs = s.on(() -> {
+            spoil(null);
+            assertThat(confirmed).hasSize(1);
+            return s.clock.nowUs();
+        });
+        s.play("wait 100").until(() -> confirmed.size() > 1);
+        assertThat(s.on(() -> confirmed.get(1))).isEqualTo(lastUs + 100_000);
+    }
+
+    /** Guards against readiness that counts from an answer: a change may have come after the question. */
+    @Test
+    void aDelayedAnswerConfirmsTheListAsOfItsQuestion() {
+        List<Long> confirmed = new ArrayList<>();
+        List<DatagramPacket> held = new ArrayList<>();
+        DatagramSocket slow = s.on(() -> s.vertx.createDatagramSocket());
+        slow.handler(held::add);
+        Address at = new Address("127.0.0.1", s.await(() -> slow.listen(0, "127.0.0.1")).localAddress().port());
+        long beganUs = s.on(() -> {
+            new ServerListPoller(s.vertx, s.clock, s.clock, at, 3, List.of(KNOWN), confirmations(confirmed), log::add).start();
+            return s.clock.nowUs();
+        });
+        s.play("wait 2000").until(() -> held.size() == 21);
+        s.on(() -> {
+            sends(slow, held.get(10));
+            sends(slow, held.get(10));
+            sends(slow, held.get(3));
+            return null;
+        });
+        s.until(() -> confirmed.size() == 2);
+        assertThat(confirmed).containsExactly(beganUs + 1_000_000, beganUs + 300_000);
+    }
 }
