The list by DNS: an entry that names no server does not end the polls for good

Change: such an answer is refused as one that cannot be read; it changes nothing and confirms nothing. Test: anEntryWithoutANameChangesNothingAndIsAskedForAgain, fails without the change (no list after 20 s) and passes with it.

--- a/src/main/java/grebewick/discovery/dns/ServerListMessage.java
+++ b/src/main/java/grebewick/discovery/dns/ServerListMessage.java
@@ -45,7 +45,7 @@
         }
     }
 
-    /** What a message says. */
+    /** What a message says; a list with an entry that names no server is refused. */
     static ServerListMessage of(Message message) {
         long serial = NO_SERIAL;
         for (Record each : message.getSection(Section.AUTHORITY)) {
@@ -54,6 +54,9 @@
         List<SRVRecord> servers = new ArrayList<>();
         for (Record each : message.getSection(Section.ANSWER)) {
             if (each instanceof SRVRecord srv) {
+                if (srv.getTarget().equals(Name.root)) {
+                    throw new IllegalArgumentException("an entry of the list names no server");
+                }
                 servers.add(srv);
             }
         }
--- a/src/test/java/grebewick/discovery/dns/ServerListPollerTest.java
+++ b/src/test/java/grebewick/discovery/dns/ServerListPollerTest.java
@@ -52,6 +52,7 @@
     private boolean nobody;
     private boolean onlyLists;
     private boolean onlyDetails;
+    private boolean namesNoServer;
     private ServerListPoller poller;
 
     @BeforeEach
@@ -120,7 +121,8 @@
             Name zone = Name.fromString("fleet.local.");
             Record found = switch (question.getQuestion().getType()) {
                 case Type.SRV ->
-                    new SRVRecord(Name.fromString("_work._tcp.fleet.local."), DClass.IN, 0, priority, 40, 5070, host);
+                    new SRVRecord(Name.fromString("_work._tcp.fleet.local."), DClass.IN, 0, priority, 40, 5070,
+                        namesNoServer ? Name.root : host);
                 case Type.A -> new ARecord(host, DClass.IN, 0, InetAddress.getByName("127.1.0.9"));
                 default -> new TXTRecord(host, DClass.IN, 0, List.of("kind=std", "cell=2", "started=" + started));
             };
@@ -412,4 +414,15 @@
         s.until(() -> confirmed.size() == 2);
         assertThat(confirmed).containsExactly(beganUs + 1_000_000, beganUs + 300_000);
     }
+
+    /** Guards against polls that end for good with an entry that names no server. */
+    @Test
+    void anEntryWithoutANameChangesNothingAndIsAskedForAgain() {
+        namesNoServer = true;
+        serial = 4;
+        s.play("wait 100").until(() -> log.stream().anyMatch(line -> line.contains("names no server")));
+        namesNoServer = false;
+        s.play("wait 100").until(() -> told.size() == 1);
+        assertThat(told.get(0).get(0).entry().server()).isEqualTo("s-1");
+    }
 }
