Replicas: a secondary's answers say how old its own word is, and leases count from then

Not seen by callers; found by following the cause. Change: queries ask for the EDNS EXPIRE option (RFC 7314), and a secondary's answers over UDP and TCP carry it: the seconds left until the zone would expire there, counted from the last question that an upstream confirmed, less that upstream's own age. The client takes the age off the moment from which the answer confirms the zone. A primary's answers are as before. Queries leave the mailbox of their SOA record out, so that they stay within the 128 bytes that the schedule counts; datagrams of secondaries hold 19 bytes less.

--- a/src/main/java/grebewick/discovery/replica/ClientConnection.java
+++ b/src/main/java/grebewick/discovery/replica/ClientConnection.java
@@ -116,7 +116,7 @@
             TransferRequest request = TransferCodec.decodeQuery(query);
             TransferResponse response = state.answer(request, Transport.STREAM, clock.nowUs());
             isTransfer = ReplicaState.isTransfer(response);
-            messages = TransferCodec.encodeStream(request, response);
+            messages = TransferCodec.encodeStream(request, response, state.ageUs(request.zone(), clock.nowUs()));
         } catch (TransferException e) {
             // After what cannot be read nothing can be trusted: it is told so, and that is the end.
             ending = true;
--- a/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaProcess.java
@@ -134,6 +134,11 @@
         state.take(zone, content);
     }
 
+    @Override
+    public void confirmed(String zone, long asOfUs) {
+        state.confirmed(zone, asOfUs);
+    }
+
     /** Reads the configuration of its zones anew; what cannot work is logged and changes nothing. */
     public void reload() {
         loop.runOnContext(v -> source.reread()
--- a/src/main/java/grebewick/discovery/replica/ReplicaServer.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaServer.java
@@ -99,7 +99,9 @@
     private byte[] answer(byte[] query) {
         try {
             TransferRequest request = TransferCodec.decodeQuery(query);
-            return TransferCodec.encodeDatagram(request, state.answer(request, Transport.DATAGRAM, clock.nowUs()));
+            long nowUs = clock.nowUs();
+            return TransferCodec.encodeDatagram(request, state.answer(request, Transport.DATAGRAM, nowUs),
+                state.ageUs(request.zone(), nowUs));
         } catch (TransferException e) {
             return state.malformed(clock.nowUs()) ? TransferCodec.formatError(query).orElse(null) : null;
         }
--- a/src/main/java/grebewick/discovery/replica/ReplicaState.java
+++ b/src/main/java/grebewick/discovery/replica/ReplicaState.java
@@ -34,6 +34,8 @@
     private final HistoryLimits history;
     private final TransferLimits limits;
     private final Map<String, ZoneJournal> journals = new HashMap<>();
+    /** us. By zone: as of when its source last confirmed it; of zones known at first hand: none. */
+    private final Map<String, Long> confirmedUs = new HashMap<>();
     private Set<String> served = Set.of();
     private long queries;
     private long malformed;
@@ -67,6 +69,16 @@
         return served.contains(zone) && journals.get(zone).take(content);
     }
 
+    /** What is held of a zone was its latest then, as its source says. */
+    public void confirmed(String zone, long asOfUs) {
+        confirmedUs.merge(zone, asOfUs, Math::max);
+    }
+
+    /** us. How old this replica's own word on a zone is; 0: it knows the zone at first hand. */
+    public long ageUs(String zone, long nowUs) {
+        return confirmedUs.containsKey(zone) ? Math.max(1, nowUs - confirmedUs.get(zone)) : 0;
+    }
+
     /** What is held of a zone that is served. */
     public Optional<ZoneContent> content(String zone) {
         return served.contains(zone) ? journals.get(zone).current() : Optional.empty();
@@ -101,7 +113,8 @@
         if (journal.current().isEmpty()) {
             return new Failed(FailureReason.SERVFAIL);
         }
-        int mostBytes = transport == Transport.DATAGRAM ? TransferCodec.MAX_DATAGRAM : Integer.MAX_VALUE;
+        int mostBytes = transport == Transport.STREAM ? Integer.MAX_VALUE
+            : confirmedUs.containsKey(request.zone()) ? TransferCodec.MAX_DATAGRAM_WITH_AGE : TransferCodec.MAX_DATAGRAM;
         TransferResponse response = journal.answer(request.held(), mostBytes);
         return isWithinLimits(response, journal, transport, nowUs) ? response : new Failed(FailureReason.REFUSED);
     }
--- a/src/main/java/grebewick/discovery/replica/SecondarySource.java
+++ b/src/main/java/grebewick/discovery/replica/SecondarySource.java
@@ -1,9 +1,11 @@
 package grebewick.discovery.replica;
 
+import grebewick.config.Endpoint;
 import grebewick.core.Clock;
 import grebewick.core.Timers;
 import grebewick.discovery.transfer.DiscoveryConfig;
 import grebewick.discovery.transfer.DnsTransferClient;
+import grebewick.discovery.transfer.ZoneContent;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
@@ -37,11 +39,22 @@
         this.reader = reader;
         this.configs = configs;
         for (DiscoveryConfig config : configs) {
-            clients.add(new DnsTransferClient(vertx, clock, timers, random, config, List.of(), list -> {}, log)
+            clients.add(new DnsTransferClient(vertx, clock, timers, random, config, List.of(), new Confirmations(), log)
                 .onZone((zone, content) -> listener.news(zone, content)));
         }
     }
 
+    /** Passes on what upstreams confirm. */
+    private final class Confirmations implements DnsTransferClient.Listener {
+        @Override
+        public void listed(List<Endpoint> servers) {}
+
+        @Override
+        public void confirmed(String zone, long askedUs, ZoneContent content) {
+            listener.confirmed(zone, askedUs);
+        }
+    }
+
     @Override
     public void start(Listener to) {
         listener = to;
--- a/src/main/java/grebewick/discovery/replica/ZoneSource.java
+++ b/src/main/java/grebewick/discovery/replica/ZoneSource.java
@@ -13,6 +13,9 @@
 
         /** A later content of a zone. */
         void news(String zone, ZoneContent content);
+
+        /** What is held of a zone was its latest at {@code asOfUs}; told by sources that know of it at second hand. */
+        void confirmed(String zone, long asOfUs);
     }
 
     /** Starts to tell. */
--- a/src/main/java/grebewick/discovery/transfer/ClientAction.java
+++ b/src/main/java/grebewick/discovery/transfer/ClientAction.java
@@ -40,7 +40,7 @@
     /**
      * A replica has answered that what is held of a zone is its latest, or has brought it.
      *
-     * @param askedUs when it was asked: a later change may not be in it
+     * @param askedUs when it was asked, less the age of its own word: a later change may not be in it
      */
     record ZoneConfirmed(String zone, long askedUs, ZoneContent content) implements ClientAction {}
 
--- a/src/main/java/grebewick/discovery/transfer/DnsTransferClient.java
+++ b/src/main/java/grebewick/discovery/transfer/DnsTransferClient.java
@@ -240,7 +240,9 @@
         step(now -> {
             client.received(now, query.request, bytes.length);
             try {
-                client.answered(now, query.request, TransferCodec.decodeDatagram(query.asked, bytes));
+                TransferAssembler answer = TransferCodec.datagramAssembler(query.asked);
+                TransferResponse response = TransferCodec.decodeDatagram(answer, bytes);
+                client.answered(now, query.request, response, answer.sourceAgeUs());
             } catch (TransferException e) {
                 complain(query.replica + ": " + e.getMessage());
                 client.failed(now, query.request, TransferFailure.MALFORMED);
@@ -258,8 +260,8 @@
                 }
 
                 @Override
-                public void answered(long request, TransferResponse response) {
-                    step(now -> client.answered(now, request, response));
+                public void answered(long request, TransferResponse response, long sourceAgeUs) {
+                    step(now -> client.answered(now, request, response, sourceAgeUs));
                 }
 
                 @Override
--- a/src/main/java/grebewick/discovery/transfer/ServerListClient.java
+++ b/src/main/java/grebewick/discovery/transfer/ServerListClient.java
@@ -136,8 +136,17 @@
         transfers.gate().received(nowUs, bytes);
     }
 
-    /** A whole answer to a request. */
+    /** A whole answer to a request, of who knows the zone at first hand. */
     public void answered(long nowUs, long request, TransferResponse response) {
+        answered(nowUs, request, response, 0);
+    }
+
+    /**
+     * A whole answer to a request.
+     *
+     * @param sourceAgeUs us. How old the replica's own word on the zone was
+     */
+    public void answered(long nowUs, long request, TransferResponse response, long sourceAgeUs) {
         Pending from = take(request);
         if (from == null) {
             return;
@@ -157,7 +166,7 @@
             applied(task, response);
         }
         if (outcome == Outcome.APPLIED || outcome == Outcome.CURRENT) {
-            confirmed(task, from.askedUs());
+            confirmed(task, from.askedUs() - sourceAgeUs);
         }
         if (from.isAwaited()) {
             concluded(nowUs, from, response, outcome);
@@ -279,7 +288,7 @@
         pending.removeForgotten(nowUs).forEach(this::abandon);
     }
 
-    /** As of the question: what came after it may not be in the answer, however late that comes. */
+    /** As of the question, less the age of the replica's own word: what came after that may not be in the answer. */
     private void confirmed(ZoneTask task, long askedUs) {
         task.confirmedUs = Math.max(task.confirmedUs, askedUs);
         out.accept(new ZoneConfirmed(task.zone(), askedUs, task.follower.content().orElseThrow()));
--- a/src/main/java/grebewick/discovery/transfer/TransferAssembler.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferAssembler.java
@@ -51,6 +51,7 @@
     /** Of the message that is being read. */
     private boolean isWithinMessage;
     private boolean isFirst;
+    private long sourceAgeUs;
     private int rcode;
     private Iterator<Record> unread = Collections.emptyIterator();
 
@@ -99,6 +100,7 @@
         Message parsed = TransferCodec.parse(message);
         isFirst = before == State.START;
         check(parsed, isFirst);
+        sourceAgeUs = isFirst ? SourceAge.us(parsed) : sourceAgeUs;
         List<Record> answer = parsed.getSection(Section.ANSWER);
         rcode = parsed.getRcode();
         if (rcode != Rcode.NOERROR && !(isFirst && answer.isEmpty())) {
@@ -112,6 +114,11 @@
         state = before;
     }
 
+    /** us. How old the sender's own word on the zone is, as far as it says so. */
+    public long sourceAgeUs() {
+        return sourceAgeUs;
+    }
+
     /** Whether records of the message that was begun are left to be read. */
     boolean isWithinMessage() {
         return isWithinMessage;
--- a/src/main/java/grebewick/discovery/transfer/TransferCodec.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferCodec.java
@@ -33,6 +33,8 @@
 public final class TransferCodec {
     /** Bytes of an answer by UDP at the most: fits an Ethernet frame over IPv6, as the DNS flag day of 2020 has it. */
     public static final int MAX_DATAGRAM = 1_232;
+    /** The same, less what the age of its sender's word takes. */
+    public static final int MAX_DATAGRAM_WITH_AGE = MAX_DATAGRAM - SourceAge.BYTES;
     /** Records of a message over TCP: 32 servers with the longest names are below the 65,535 bytes of a message. */
     static final int RECORDS_PER_MESSAGE = 32 * ServerRecords.PER_SERVER;
 
@@ -61,8 +63,10 @@
         Message message = new Message(request.id());
         message.getHeader().setOpcode(Opcode.QUERY);
         message.addRecord(question(zone), Section.QUESTION);
-        message.addRecord(request.held().map(version -> ZoneSoa.of(zone, version)).orElseGet(() -> ZoneSoa.ofNothing(zone)),
-            Section.AUTHORITY);
+        message.addRecord(ZoneSoa.inQuery(zone, request.held()), Section.AUTHORITY);
+        if (request.asksAge()) {
+            message.addRecord(SourceAge.question(), Section.ADDITIONAL);
+        }
         return message.toWire();
     }
 
@@ -83,18 +87,37 @@
             || !soa.getName().equals(question.getName())) {
             throw malformed("not an IXFR query with the SOA record held");
         }
-        return new TransferRequest(header.getID(), question.getName().toString(), ZoneSoa.held(soa));
+        return new TransferRequest(header.getID(), question.getName().toString(), ZoneSoa.held(soa),
+            SourceAge.isAskedFor(message));
     }
 
-    /** The one message of an answer by UDP; the caller sees to its size ({@link TransferSize}). */
+    /** The one message of an answer by UDP of who knows the zone at first hand. */
     public static byte[] encodeDatagram(TransferRequest request, TransferResponse response) {
-        Message message = answer(request, response);
+        return encodeDatagram(request, response, 0);
+    }
+
+    /**
+     * The one message of an answer by UDP; the caller sees to its size ({@link TransferSize}).
+     *
+     * @param ageUs us. How old its sender's own word on the zone is
+     */
+    public static byte[] encodeDatagram(TransferRequest request, TransferResponse response, long ageUs) {
+        Message message = answer(request, response, ageUs);
         records(name(request.zone()), response).forEach(record -> message.addRecord(record, Section.ANSWER));
         return message.toWire();
     }
 
-    /** The messages of an answer over TCP, without their length fields; each is encoded when it is asked for. */
+    /** The messages of an answer over TCP of who knows the zone at first hand. */
     public static Iterator<byte[]> encodeStream(TransferRequest request, TransferResponse response) {
+        return encodeStream(request, response, 0);
+    }
+
+    /**
+     * The messages of an answer over TCP, without their length fields; each is encoded when it is asked for.
+     *
+     * @param ageUs us. How old its sender's own word on the zone is
+     */
+    public static Iterator<byte[]> encodeStream(TransferRequest request, TransferResponse response, long ageUs) {
         Iterator<Record> records = records(name(request.zone()), response).iterator();
         return new Iterator<>() {
             private boolean isFirst = true;
@@ -106,8 +129,8 @@
 
             @Override
             public byte[] next() {
+                Message message = answer(request, response, isFirst ? ageUs : 0);
                 isFirst = false;
-                Message message = answer(request, response);
                 for (int i = 0; i < RECORDS_PER_MESSAGE && records.hasNext(); i++) {
                     message.addRecord(records.next(), Section.ANSWER);
                 }
@@ -118,7 +141,16 @@
 
     /** Reads the one message of an answer by UDP. */
     public static TransferResponse decodeDatagram(TransferRequest request, byte[] bytes) throws TransferException {
-        TransferAssembler assembler = new TransferAssembler(request, MAX_DATAGRAM, MAX_DATAGRAM);
+        return decodeDatagram(datagramAssembler(request), bytes);
+    }
+
+    /** For the answer to a query by UDP. */
+    static TransferAssembler datagramAssembler(TransferRequest request) {
+        return new TransferAssembler(request, MAX_DATAGRAM, MAX_DATAGRAM);
+    }
+
+    /** Reads the one message of an answer by UDP, with an assembler that then tells the age. */
+    static TransferResponse decodeDatagram(TransferAssembler assembler, byte[] bytes) throws TransferException {
         return assembler.add(bytes).orElseThrow(() -> new TransferException(Kind.WRONG_ORDER, "an answer that breaks off"));
     }
 
@@ -139,12 +171,15 @@
         }
     }
 
-    private static Message answer(TransferRequest request, TransferResponse response) {
+    private static Message answer(TransferRequest request, TransferResponse response, long ageUs) {
         Message message = new Message(request.id());
         message.getHeader().setFlag(Flags.QR);
         message.getHeader().setFlag(Flags.AA);
         message.getHeader().setRcode(response instanceof Failed failed ? failed.reason().rcode() : Rcode.NOERROR);
         message.addRecord(question(name(request.zone())), Section.QUESTION);
+        if (ageUs > 0 && request.asksAge()) {
+            message.addRecord(SourceAge.of(ageUs), Section.ADDITIONAL);
+        }
         return message;
     }
 
--- a/src/main/java/grebewick/discovery/transfer/TransferConnection.java
+++ b/src/main/java/grebewick/discovery/transfer/TransferConnection.java
@@ -24,7 +24,7 @@
         void received(int bytes);
 
         /** All of an answer is there. */
-        void answered(long request, TransferResponse response);
+        void answered(long request, TransferResponse response, long sourceAgeUs);
 
         /** There will be none, and what follows on the connection cannot be trusted. */
         void failed(long request, String cause);
@@ -176,7 +176,7 @@
         }
         if (response.isPresent()) {
             transfers.remove(transfer.id);
-            listener.answered(transfer.request, response.get());
+            listener.answered(transfer.request, response.get(), transfer.assembler.sourceAgeUs());
         }
     }
 
--- a/src/main/java/grebewick/discovery/transfer/ZoneSoa.java
+++ b/src/main/java/grebewick/discovery/transfer/ZoneSoa.java
@@ -15,24 +15,25 @@
     private static final long REFRESH_S = 2;
     private static final long RETRY_S = 1;
     /** s. A secondary that hears nothing serves what it has; a week is the least that operators notice. */
-    private static final long EXPIRE_S = 604_800;
+    static final long EXPIRE_S = 604_800;
+    private static final String HOSTMASTER = "hostmaster";
     private static final Pattern EPOCH = Pattern.compile("epoch-(0|[1-9][0-9]{0,18})");
 
     private ZoneSoa() {}
 
     /** The record of a version. */
     static SOARecord of(Name zone, ZoneVersion version) {
-        return of(zone, version.epoch(), version.serial());
+        return of(zone, version.epoch(), version.serial(), HOSTMASTER);
     }
 
-    /** The record in a query of one that holds nothing. */
-    static SOARecord ofNothing(Name zone) {
-        return of(zone, 0, 0);
+    /** The record in a query of one that holds that version, or nothing; without a mailbox, for queries are many. */
+    static SOARecord inQuery(Name zone, Optional<ZoneVersion> held) {
+        return of(zone, held.map(ZoneVersion::epoch).orElse(0L), held.map(ZoneVersion::serial).orElse(0L), ".");
     }
 
-    private static SOARecord of(Name zone, long epoch, long serial) {
+    private static SOARecord of(Name zone, long epoch, long serial, String mailbox) {
         try {
-            return new SOARecord(zone, DClass.IN, 0, Name.fromString("epoch-" + epoch, zone), Name.fromString("hostmaster", zone),
+            return new SOARecord(zone, DClass.IN, 0, Name.fromString("epoch-" + epoch, zone), Name.fromString(mailbox, zone),
                 serial, REFRESH_S, RETRY_S, EXPIRE_S, 0);
         } catch (TextParseException e) {
             throw new IllegalArgumentException("no name of a zone: " + zone, e);
--- a/src/test/java/grebewick/discovery/replica/BlockingClient.java
+++ b/src/test/java/grebewick/discovery/replica/BlockingClient.java
@@ -29,6 +29,8 @@
     private Socket stream;
     /** Messages of the answer that was read last. */
     int messages;
+    /** us. How old the server's own word was, as its last answer said. */
+    long ageUs;
 
     BlockingClient(int port) throws IOException {
         server = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port);
@@ -44,7 +46,11 @@
     /** Asks by UDP. */
     TransferResponse ask(TransferRequest request) throws IOException, TransferException {
         send(TransferCodec.encodeQuery(request));
-        return TransferCodec.decodeDatagram(request, receive());
+        byte[] answer = receive();
+        TransferAssembler assembler = new TransferAssembler(request, MOST_RECORDS, MOST_BYTES);
+        assembler.add(answer);
+        ageUs = assembler.sourceAgeUs();
+        return TransferCodec.decodeDatagram(request, answer);
     }
 
     void send(byte[] bytes) throws IOException {
@@ -94,6 +100,7 @@
             in.readFully(message);
             messages++;
             Optional<TransferResponse> response = assembler.add(message);
+            ageUs = assembler.sourceAgeUs();
             if (response.isPresent()) {
                 return response.get();
             }
--- a/src/test/java/grebewick/discovery/replica/SecondarySourceTest.java
+++ b/src/test/java/grebewick/discovery/replica/SecondarySourceTest.java
@@ -92,6 +92,11 @@
         public void news(String zone, ZoneContent content) {
             secondary.state.take(zone, content);
         }
+
+        @Override
+        public void confirmed(String zone, long asOfUs) {
+            secondary.state.confirmed(zone, asOfUs);
+        }
     }
 
     @BeforeEach
@@ -197,6 +202,25 @@
         assertThat(client.ask(query(FIRST))).isEqualTo(new UpToDate(FIRST));
     }
 
+    /** Guards gatekeepers against a secondary whose "up to date" is old news, as it is cut off from its upstreams. */
+    @Test
+    void aSecondarySaysHowOldItsOwnWordIs() throws Exception {
+        upstreams.forEach(upstream -> upstream.take(samples.content(FIRST, 2)));
+        untilHeld(FIRST);
+        assertThat(client.ask(query(FIRST))).isEqualTo(new UpToDate(FIRST));
+        assertThat(client.ageUs).isBetween(1L, 4_000_000L);
+        upstreams.forEach(Upstream::close);
+        long cutOffUs = s.on(() -> secondary.state.ageUs(ZONE, s.clock.nowUs()));
+        s.play("wait 20000");
+        assertThat(client.ask(query(FIRST))).isEqualTo(new UpToDate(FIRST));
+        assertThat(client.ageUs).isBetween(cutOffUs + 20_000_000, cutOffUs + 21_000_000);
+        client.askStream(query(null));
+        assertThat(client.ageUs).isBetween(cutOffUs + 20_000_000, cutOffUs + 21_000_000);
+        // Who does not ask for it is not told.
+        client.ask(new TransferRequest(9, ZONE, Optional.of(FIRST), false));
+        assertThat(client.ageUs).isZero();
+    }
+
     @Test
     void oneUpstreamThatIsGoneIsNotMissed() {
         ZoneContent content = samples.content(FIRST, 20);
--- a/src/test/java/grebewick/discovery/transfer/ZoneConfirmationTest.java
+++ b/src/test/java/grebewick/discovery/transfer/ZoneConfirmationTest.java
@@ -90,6 +90,14 @@
         assertThat(confirmations()).containsExactly(firstUs);
     }
 
+    /** Guards against a secondary that is cut off from its primary and goes on saying that nothing is new. */
+    @Test
+    void anAnswerOfASecondaryConfirmsTheZoneAsOfItsOwnLastConfirmation() {
+        ask();
+        client.answered(nowUs, asked.request(), new UpToDate(HELD), 3 * SECOND);
+        assertThat(confirmations()).containsExactly(askedUs - 3 * SECOND);
+    }
+
     static Stream<TransferResponse> noConfirmations() {
         return Stream.of(new Failed(FailureReason.SERVFAIL), new Failed(FailureReason.REFUSED),
             new UpToDate(new ZoneVersion(1, 4)), new TooLarge(new ZoneVersion(1, 6)),
