The list by DNS: a record that cannot be read is passed over where it is read

Found by reading the change again: two try/finally blocks adopted and confirmed a list though reading its records had failed, and would have done so whatever had failed. Now the one record is passed over and complained of in PolledServerList.hear.

--- a/src/main/java/grebewick/discovery/dns/PolledServerList.java
+++ b/src/main/java/grebewick/discovery/dns/PolledServerList.java
@@ -22,6 +22,7 @@
  */
 final class PolledServerList {
     private final Consumer<List<Endpoint>> news;
+    private final Consumer<String> unreadable;
     private long serial;
     /** The servers of list {@code serial}, by name; null: none later than the configuration's was heard. */
     private Map<String, PolledServer> list;
@@ -32,10 +33,14 @@
     /** By server: what was told last. It serves until the name service has repeated it for a newer list. */
     private Map<String, Endpoint> told = new LinkedHashMap<>();
 
-    /** Tells lists later than event {@code index}, at which {@code known} held. */
-    PolledServerList(long index, List<Endpoint> known, Consumer<List<Endpoint>> news) {
+    /**
+     * Tells lists later than event {@code index}, at which {@code known} held; {@code unreadable} takes why a record on one
+     * server cannot be read.
+     */
+    PolledServerList(long index, List<Endpoint> known, Consumer<List<Endpoint>> news, Consumer<String> unreadable) {
         this.serial = index;
         this.news = news;
+        this.unreadable = unreadable;
         known.forEach(e -> told.put(e.entry().server(), e));
     }
 
@@ -60,14 +65,9 @@
         if (list == null) {
             return false;
         }
-        boolean heard = false;
-        try {
-            heard = hear(answer);
-        } finally {
-            // A record on one server that makes no sense takes nothing from the list.
-            if (newer || heard && unsure.stream().noneMatch(PolledServer::isUnsure)) {
-                tell();
-            }
+        boolean heard = hear(answer);
+        if (newer || heard && unsure.stream().noneMatch(PolledServer::isUnsure)) {
+            tell();
         }
         return newer;
     }
@@ -102,7 +102,12 @@
         boolean heard = false;
         for (Record r : answer.details()) {
             PolledServer server = list.get(r.getName().toString());
-            heard |= server != null && server.hear(r);
+            try {
+                heard |= server != null && server.hear(r);
+            } catch (NumberFormatException e) {
+                // Takes nothing from the list, nor from what is said of others.
+                unreadable.accept(e.getMessage());
+            }
         }
         return heard;
     }
--- a/src/main/java/grebewick/discovery/dns/ServerListPoller.java
+++ b/src/main/java/grebewick/discovery/dns/ServerListPoller.java
@@ -86,7 +86,8 @@
         this.listener = listener;
         this.log = log;
         complaints = new LimitedLog(log, "names: ", MOST_COMPLAINTS);
-        servers = new PolledServerList(index, known, listener::listed);
+        servers = new PolledServerList(index, known, listener::listed,
+            reason -> complaints.complain("a record that cannot be read: " + reason));
     }
 
     /** Starts asking. */
@@ -194,15 +195,12 @@
         if (servers.isStale(answer)) {
             return;
         }
-        try {
-            if (servers.take(answer)) {
-                askServers();
-            }
-        } finally {
-            if (answer.isOnList()) {
-                last = bytes;
-                listener.confirmed(question.askedUs);
-            }
+        if (servers.take(answer)) {
+            askServers();
+        }
+        if (answer.isOnList()) {
+            last = bytes;
+            listener.confirmed(question.askedUs);
         }
     }
 }
